--- /dev/null
+++ b/src/main/java/graderelay/api/UserApi.java
@@ -0,0 +1,400 @@
+package graderelay.api;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import graderelay.core.JobSpec;
+import graderelay.core.MachineType;
+import graderelay.core.SliceRecord;
+import graderelay.core.Team;
+import graderelay.net.Exchange;
+import graderelay.net.Exchange.Answer;
+import graderelay.net.Loop;
+import graderelay.net.TokenBucket.Use;
+import graderelay.service.Constants;
+import graderelay.service.Settings;
+import graderelay.state.Cache;
+import graderelay.state.StateClient;
+import graderelay.state.StateClient.How;
+import graderelay.wire.BadRequest;
+import graderelay.wire.Json;
+import graderelay.wire.StateCodec;
+import graderelay.wire.UserCodec;
+import java.util.Collection;
+import java.util.function.Consumer;
+import java.util.function.IntSupplier;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Submissions, polls and cancellations, on any controller. A submission and a cancellation are
+ * conditional writes; an answer about a job follows a read that no earlier answer is newer than.
+ */
+public final class UserApi {
+  private static final Logger LOG = LoggerFactory.getLogger("users");
+
+  private final Loop loop;
+  private final StateClient state;
+  private final Cache cache;
+  private final Settings settings;
+  private final Supplier<Collection<MachineType>> types;
+  private final IntSupplier sliceCap;
+  private int submissions;
+
+  public UserApi(
+      Loop loop,
+      StateClient state,
+      Cache cache,
+      Settings settings,
+      Supplier<Collection<MachineType>> types,
+      IntSupplier sliceCap) {
+    this.loop = loop;
+    this.state = state;
+    this.cache = cache;
+    this.settings = settings;
+    this.types = types;
+    this.sliceCap = sliceCap;
+  }
+
+  /** A request that is answered once, at the latest when its time is up. */
+  private final class Pending {
+    final Consumer<Answer> to;
+    final double until;
+    private boolean over;
+    private final Loop.Timer timer;
+
+    Pending(Exchange e, double seconds) {
+      this.to = e.to();
+      this.until = loop.now() + seconds;
+      this.timer = loop.after(seconds, () -> unavailable("the state service did not answer"));
+    }
+
+    void answer(int status, JsonNode body) {
+      send(Answer.json(status, Json.write(body)));
+    }
+
+    void unavailable(String why) {
+      send(new Answer(503, Json.error(why), "application/json", Constants.RETRY_AFTER_S, false));
+    }
+
+    void send(Answer a) {
+      if (!over) {
+        over = true;
+        timer.cancel();
+        to.accept(a);
+      }
+    }
+
+    /** Tries again after a moment; when the time is up the answer has been given. */
+    void retry(Runnable r) {
+      loop.after(
+          Constants.STATE_RETRY_S / 2,
+          () -> {
+            if (!over) {
+              r.run();
+            }
+          });
+    }
+  }
+
+  public static void refuse(Exchange e, int status, String why) {
+    e.to().accept(Answer.json(status, Json.error(why)));
+  }
+
+  public static void unavailable(Exchange e, String why) {
+    e.to()
+        .accept(
+            new Answer(503, Json.error(why), "application/json", Constants.RETRY_AFTER_S, false));
+  }
+
+  /** True while calls to the state service fail: then nothing can be decided here. */
+  public boolean stateAway() {
+    return !cache.loaded() || state.failingFor() > Constants.STATE_TIMEOUT_S;
+  }
+
+  // ---------------------------------------------------------------- submissions
+
+  public void submit(Exchange e) {
+    JobSpec spec;
+    try {
+      spec = UserCodec.submission(Json.read(e.body()), loop.wallMs(), sliceCap.getAsInt());
+    } catch (BadRequest b) {
+      refuse(e, 400, b.getMessage());
+      return;
+    }
+    if (cache.end(spec.id()) != null) {
+      accepted(e, spec.id());
+      return;
+    }
+    if (stateAway()) {
+      unavailable(e, "the state service can't be reached");
+      return;
+    }
+    if (submissions >= Constants.MOST_SUBMISSIONS) {
+      e.to()
+          .accept(
+              new Answer(
+                  429,
+                  Json.error("too many submissions at once"),
+                  "application/json",
+                  Constants.RETRY_AFTER_S,
+                  false));
+      return;
+    }
+    submissions++;
+    Exchange counted =
+        new Exchange(
+            e.method(),
+            e.path(),
+            e.query(),
+            e.body(),
+            a -> {
+              submissions--;
+              e.to().accept(a);
+            });
+    Pending p = new Pending(counted, Constants.USER_DEADLINE_S);
+    if (cache.job(spec.id()) != null) {
+      known(p, spec);
+      return;
+    }
+    String never = neverRuns(spec);
+    if (never == null) {
+      create(p, spec);
+    } else {
+      // A retry of a job that was accepted once is told so, whatever has changed since.
+      known(p, spec);
+    }
+  }
+
+  private void accepted(Exchange e, String id) {
+    Cache.End end = cache.end(id);
+    e.to().accept(Answer.json(200, Json.write(UserCodec.stage(id, stageOf(end)))));
+  }
+
+  private static String stageOf(Cache.End end) {
+    return end.cancelled() ? "cancelled" : "done";
+  }
+
+  /** Why a job can never run; null if it can, and "unknown" is not decided here. */
+  private String neverRuns(JobSpec s) {
+    Team team = null;
+    for (Team t : settings.teams()) {
+      if (t.name().equals(s.team())) {
+        team = t;
+      }
+    }
+    if (team == null) {
+      return "crew " + s.team() + " is not known";
+    }
+    int atOnce = s.isService() ? s.tasks() : 1;
+    if ((team.cpusMax() > 0 && s.cpus() * atOnce > team.cpusMax() + 1e-6)
+        || (team.gpusMax() > 0 && s.gpus() * atOnce > team.gpusMax() + 1e-6)) {
+      return "the job needs more than the limit of crew " + s.team();
+    }
+    Collection<MachineType> all = types.get();
+    if (all != null && all.stream().noneMatch(s::fits)) {
+      return "a task fits no allowed machine type";
+    }
+    return null;
+  }
+
+  private void create(Pending p, JobSpec spec) {
+    if (types.get() == null) {
+      p.unavailable("the machine types are not known yet");
+      return;
+    }
+    String key = StateCodec.jobKey(spec.id());
+    StateClient.Txn txn =
+        new StateClient.Txn()
+            .when(key, 0)
+            .when(StateCodec.endKey(spec.id()), 0)
+            .put(key, StateCodec.job(spec, false));
+    state.commit(
+        txn,
+        Use.SUBMISSION,
+        r -> {
+          switch (r.how()) {
+            case DONE -> {
+              LOG.info(
+                  "accepted {}: {} of {}, {} tasks of {} CPUs",
+                  spec.id(),
+                  spec.jobClass(),
+                  spec.team(),
+                  spec.tasks(),
+                  spec.cpus());
+              p.answer(201, UserCodec.stage(spec.id(), "pending"));
+            }
+            case CONFLICT -> known(p, spec);
+            case NOT_EXECUTED -> overloaded(p, () -> create(p, spec));
+            default -> p.retry(() -> create(p, spec));
+          }
+        });
+  }
+
+  private void overloaded(Pending p, Runnable again) {
+    if (stateAway()) {
+      p.unavailable("the state service can't be reached");
+    } else {
+      p.retry(again);
+    }
+  }
+
+  /** Answers for a job that may have been accepted before. */
+  private void known(Pending p, JobSpec spec) {
+    look(
+        p,
+        spec.id(),
+        found -> {
+          if (found != null) {
+            p.answer(200, UserCodec.stage(spec.id(), found.stage()));
+            return;
+          }
+          String never = neverRuns(spec);
+          if (never != null) {
+            p.answer(422, Json.object().put("error", never));
+          } else {
+            create(p, spec);
+          }
+        });
+  }
+
+  // ---------------------------------------------------------------- polls
+
+  private record Found(String stage, int done, int running, Cache.Entry live) {}
+
+  /** What is true of a job now, or null if nobody ever submitted it. */
+  private void look(Pending p, String id, Consumer<Found> then) {
+    Cache.End end = cache.end(id);
+    if (end != null) {
+      then.accept(ended(end));
+      return;
+    }
+    cache.catchUp(
+        ok -> {
+          if (!ok) {
+            if (stateAway()) {
+              p.unavailable("the state service can't be reached");
+            } else {
+              p.retry(() -> look(p, id, then));
+            }
+            return;
+          }
+          Cache.Entry live = cache.job(id);
+          if (live != null) {
+            then.accept(live(live));
+            return;
+          }
+          Cache.End seen = cache.end(id);
+          if (seen != null) {
+            then.accept(ended(seen));
+            return;
+          }
+          lookForEnd(p, id, then);
+        });
+  }
+
+  private void lookForEnd(Pending p, String id, Consumer<Found> then) {
+    state.get(
+        StateCodec.endKey(id),
+        Use.READ,
+        r -> {
+          if (r.done()) {
+            Cache.End e = Cache.endOf(r.body().path("data"));
+            cache.learnEnd(id, e);
+            then.accept(ended(e));
+          } else if (r.how() == How.ABSENT) {
+            then.accept(null);
+          } else if (stateAway()) {
+            p.unavailable("the state service can't be reached");
+          } else {
+            p.retry(() -> look(p, id, then));
+          }
+        });
+  }
+
+  private static Found ended(Cache.End e) {
+    return new Found(stageOf(e), e.cancelled() ? 0 : e.tasks(), 0, null);
+  }
+
+  private static Found live(Cache.Entry e) {
+    int done = 0;
+    int claimed = 0;
+    for (Cache.SliceEntry s : e.slices.values()) {
+      SliceRecord r = s.record();
+      done += r.doneCount();
+      claimed += r.claimedCount();
+    }
+    String stage = e.stop ? "cancelled" : claimed > 0 ? "running" : "pending";
+    return new Found(stage, done, e.stop ? 0 : claimed, e);
+  }
+
+  public void poll(Exchange e, String id) {
+    if (!UserCodec.isId(id)) {
+      refuse(e, 404, "no such job");
+      return;
+    }
+    if (cache.end(id) == null && stateAway()) {
+      unavailable(e, "the state service can't be reached");
+      return;
+    }
+    Pending p = new Pending(e, Constants.POLL_DEADLINE_S);
+    look(
+        p,
+        id,
+        f -> {
+          if (f == null) {
+            p.answer(404, Json.object().put("error", "no such job"));
+          } else {
+            p.answer(200, UserCodec.status(id, f.stage(), f.done(), f.running()));
+          }
+        });
+  }
+
+  // ---------------------------------------------------------------- cancellations
+
+  public void cancel(Exchange e, String id) {
+    if (!UserCodec.isId(id)) {
+      refuse(e, 404, "no such job");
+      return;
+    }
+    if (cache.end(id) == null && stateAway()) {
+      unavailable(e, "the state service can't be reached");
+      return;
+    }
+    cancel(new Pending(e, Constants.USER_DEADLINE_S), id);
+  }
+
+  private void cancel(Pending p, String id) {
+    look(
+        p,
+        id,
+        f -> {
+          if (f == null) {
+            p.answer(404, Json.object().put("error", "no such job"));
+          } else if (f.live() == null || f.live().stop) {
+            p.answer(200, UserCodec.stage(id, f.stage()));
+          } else {
+            stop(p, id, f.live());
+          }
+        });
+  }
+
+  /** Competes with claims and with the job's end for the job's record. */
+  private void stop(Pending p, String id, Cache.Entry live) {
+    String key = StateCodec.jobKey(id);
+    StateClient.Txn txn =
+        new StateClient.Txn().when(key, live.mark).put(key, StateCodec.job(live.spec, true));
+    state.commit(
+        txn,
+        Use.CLAIM,
+        r -> {
+          if (r.done()) {
+            LOG.info("stop request for {} recorded", id);
+            p.answer(200, UserCodec.stage(id, "cancelled"));
+          } else if (r.how() == How.NOT_EXECUTED) {
+            overloaded(p, () -> cancel(p, id));
+          } else {
+            p.retry(() -> cancel(p, id));
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/cli/Main.java
@@ -0,0 +1,51 @@
+package graderelay.cli;
+
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/** The program: the service itself, and the operators' tools for it. */
+@Command(
+    name = "graderelay",
+    mixinStandardHelpOptions = true,
+    versionProvider = Main.Version.class,
+    description = "A cluster scheduler for task arrays and standing services.",
+    exitCodeListHeading = "%nExit codes:%n",
+    exitCodeList = {
+      "0:done",
+      "1:the service failed",
+      "2:wrong usage or wrong settings; the message names the field"
+    },
+    subcommands = {Serve.class, Check.class, Warmup.class})
+public final class Main implements Runnable {
+  static final int FAILED = 1;
+  static final int USAGE = 2;
+
+  private Main() {}
+
+  public static void main(String[] args) {
+    String level = System.getenv("LOG_LEVEL");
+    System.setProperty(
+        "org.slf4j.simpleLogger.defaultLogLevel",
+        level == null || level.isBlank() ? "info" : level);
+    System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
+    System.setProperty("org.slf4j.simpleLogger.log.io.netty", "warn");
+    int code = new CommandLine(new Main()).execute(args);
+    if (code != Serve.RUNNING) {
+      System.exit(code);
+    }
+  }
+
+  @Override
+  public void run() {
+    CommandLine.usage(this, System.out);
+  }
+
+  /** The version that the jar was built as. */
+  static final class Version implements CommandLine.IVersionProvider {
+    @Override
+    public String[] getVersion() {
+      String v = Main.class.getPackage().getImplementationVersion();
+      return new String[] {"graderelay " + (v == null ? "(not from a jar)" : v)};
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/cli/Serve.java
@@ -0,0 +1,57 @@
+package graderelay.cli;
+
+import graderelay.net.HttpClient;
+import graderelay.net.HttpServer;
+import graderelay.net.NettyLoop;
+import graderelay.service.Node;
+import graderelay.service.Settings;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.security.SecureRandom;
+import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
+import org.slf4j.LoggerFactory;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Runs a controller until it is killed. */
+@Command(name = "serve", description = "Run a controller.", mixinStandardHelpOptions = true)
+final class Serve implements Callable<Integer> {
+  /** Not an exit code: the service goes on after the command line is done. */
+  static final int RUNNING = -1;
+
+  @Option(names = "--config", required = true, paramLabel = "FILE", description = "settings file")
+  private String file;
+
+  @Override
+  public Integer call() {
+    Settings s;
+    try {
+      s = Settings.load(file);
+    } catch (Settings.Wrong e) {
+      System.err.println("graderelay: " + file + ": " + e.getMessage());
+      return Main.USAGE;
+    }
+    return run(s) ? RUNNING : Main.FAILED;
+  }
+
+  /** Starts a node on its sockets; false if an address can't be had. */
+  static boolean run(Settings s) {
+    var group = new NioEventLoopGroup(1);
+    var loop = group.next();
+    var clock = new NettyLoop(loop);
+    byte[] seed = new SecureRandom().generateSeed(8);
+    var random = new SplittableRandom(java.nio.ByteBuffer.wrap(seed).getLong());
+    Node node = new Node(clock, new HttpClient(loop), s, random);
+    HttpServer api = new HttpServer(loop, clock, s.maxConnections(), node::handle);
+    HttpServer mesh = new HttpServer(loop, clock, s.maxConnections(), node::handleMesh);
+    try {
+      api.listen(s.apiAddress()).sync();
+      mesh.listen(s.meshAddress()).sync();
+    } catch (Exception e) {
+      LoggerFactory.getLogger("serve").error("an address can't be had: {}", e.getMessage());
+      return false;
+    }
+    clock.execute(node::start);
+    return true;
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/cloud/CloudClient.java
@@ -0,0 +1,159 @@
+package graderelay.cloud;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import graderelay.core.MachineType;
+import graderelay.core.Scheduler.Listed;
+import graderelay.net.Loop;
+import graderelay.net.Reply;
+import graderelay.net.TokenBucket;
+import graderelay.net.TokenBucket.Use;
+import graderelay.net.Transport;
+import graderelay.service.Constants;
+import graderelay.wire.CloudCodec;
+import graderelay.wire.Json;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** Speaks the cloud's protocol, within its rate. */
+public final class CloudClient {
+  /** What a rental request came to: names, or an empty pool, or nobody knows (both unset). */
+  public record Hired(List<String> names, boolean noCapacity) {}
+
+  private final Loop loop;
+  private final Transport transport;
+  private final String address;
+  private final TokenBucket tokens;
+  private final Map<String, Long> outcomes = new HashMap<>();
+
+  public CloudClient(Loop loop, Transport transport, String address, double rps) {
+    this.loop = loop;
+    this.transport = transport;
+    this.address = address;
+    // Bursts of two seconds' worth are allowed; the other nodes only read the types now and then.
+    this.tokens = new TokenBucket(loop, rps * 0.8, rps);
+  }
+
+  public Map<String, Long> outcomes() {
+    return outcomes;
+  }
+
+  public TokenBucket tokens() {
+    return tokens;
+  }
+
+  public void types(Consumer<List<MachineType>> done) {
+    call(
+        Use.READ,
+        "GET",
+        "/machine_types",
+        null,
+        r -> done.accept(r.body() == null || !r.ok() ? null : CloudCodec.types(r.body())));
+  }
+
+  /** The whole list of machines, or null. */
+  public void list(Consumer<List<Listed>> done) {
+    page("", new ArrayList<>(), done);
+  }
+
+  private void page(String after, List<Listed> got, Consumer<List<Listed>> done) {
+    call(
+        Use.READ,
+        "GET",
+        "/machines?after=" + after + "&most=500",
+        null,
+        r -> {
+          if (!r.ok() || r.body() == null) {
+            done.accept(null);
+            return;
+          }
+          List<Listed> page = CloudCodec.machines(r.body());
+          got.addAll(page);
+          if (CloudCodec.more(r.body()) && !page.isEmpty()) {
+            page(page.get(page.size() - 1).name(), got, done);
+          } else {
+            done.accept(got);
+          }
+        });
+  }
+
+  /**
+   * Rents machines under a name that is used for this one request for ever. A request without an
+   * answer is repeated under the same name, so that it rents once.
+   */
+  public void hire(
+      String name, String type, String zone, boolean spot, int count, Consumer<Hired> done) {
+    hireAgain(3, name, type, zone, spot, count, done);
+  }
+
+  private void hireAgain(
+      int tries,
+      String name,
+      String type,
+      String zone,
+      boolean spot,
+      int count,
+      Consumer<Hired> done) {
+    call(
+        Use.CLAIM,
+        "POST",
+        "/machines",
+        CloudCodec.hire(name, type, zone, spot, count),
+        r -> {
+          if (r.ok() && r.body() != null) {
+            done.accept(new Hired(CloudCodec.names(r.body()), false));
+          } else if (r.status() == 503
+              && r.body() != null
+              && r.body().path("error").asText().equals("no capacity")) {
+            done.accept(new Hired(null, true));
+          } else if (tries > 1) {
+            loop.after(
+                Constants.TYPES_RETRY_S,
+                () -> hireAgain(tries - 1, name, type, zone, spot, count, done));
+          } else {
+            done.accept(new Hired(null, false));
+          }
+        });
+  }
+
+  /** Deletes machines; true once the cloud has said that they are gone. */
+  public void giveBack(List<String> names, Consumer<Boolean> done) {
+    call(Use.CLAIM, "POST", "/machines/delete", CloudCodec.names(names), r -> done.accept(r.ok()));
+  }
+
+  private record Answer(int status, JsonNode body) {
+    boolean ok() {
+      return status == 200;
+    }
+  }
+
+  private void call(Use use, String method, String path, JsonNode body, Consumer<Answer> done) {
+    tokens.take(
+        use,
+        1,
+        ok -> {
+          if (!ok) {
+            done.accept(new Answer(0, null));
+            return;
+          }
+          transport.call(
+              address,
+              method,
+              path,
+              body == null ? null : Json.write(body),
+              Constants.CLOUD_TIMEOUT_S,
+              r -> done.accept(answer(path, r)));
+        });
+  }
+
+  private Answer answer(String path, Reply r) {
+    if (r.status() == 429) {
+      tokens.penalty();
+    }
+    outcomes.merge(
+        path.split("\\?", 2)[0] + " " + (r.status() == 0 ? "none" : r.status()), 1L, Long::sum);
+    return new Answer(r.status(), r.status() == 0 ? null : Json.read(r.body()));
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/core/Action.java
@@ -0,0 +1,39 @@
+package graderelay.core;
+
+import java.util.List;
+
+/** What the core wants done outside. The outside reports back under the same id or names. */
+public sealed interface Action {
+
+  /**
+   * One transaction: every part is conditioned on the owner record, on the mark of each changed
+   * record, and, for claims, on the mark of the job, so that a cancellation and a claim compete.
+   */
+  record Write(long id, List<SlicePut> slices, List<JobEnd> ends, List<SliceDrop> drops)
+      implements Action {}
+
+  /** Replaces a slice's record. {@code jobMark} is the job's version that was checked. */
+  record SlicePut(SliceKey key, long mark, SliceRecord record, long jobMark) {}
+
+  /** Replaces a job by its final record and drops the slices named. */
+  record JobEnd(String job, long jobMark, boolean cancelled, int tasks, List<SliceDrop> slices) {}
+
+  /** Removes a slice that no longer has a job. */
+  record SliceDrop(SliceKey key, long mark) {}
+
+  /** Sends orders straight to a worker. */
+  record Command(String machine, String address, long session, long term, List<Order> orders)
+      implements Action {}
+
+  /** Rents machines. */
+  record Hire(long id, String type, String zone, boolean spot, int count) implements Action {}
+
+  /** Gives machines back. */
+  record GiveBack(List<String> machines) implements Action {}
+
+  /** Asks for a new term for this same owner, to fence launches whose fate is unknown. */
+  record RaiseTerm() implements Action {}
+
+  /** One line of the story, for the log. */
+  record Note(String text) implements Action {}
+}
--- /dev/null
+++ b/src/main/java/graderelay/core/Claim.java
@@ -0,0 +1,95 @@
+package graderelay.core;
+
+/**
+ * One attempt of one task that is claimed on a machine, from the moment the claim is sent to the
+ * state service until its end is committed there. Quota, spread and room count claims, not reports.
+ */
+final class Claim {
+  /** How far the record in the state service is. */
+  enum Phase {
+    /** The transaction that claims it is under way; nothing may start. */
+    CLAIMING,
+    /** The claim is committed. */
+    HELD,
+    /** It is proven gone; the transaction that says so has yet to commit. */
+    SETTLING
+  }
+
+  /** What is known of the launch order of this attempt under the present owner. */
+  enum Launch {
+    /** No order is under way that could still be carried out. */
+    NONE,
+    /** Sent in a report's response: decided as soon as the next report arrives. */
+    IN_RESPONSE,
+    /** Sent straight to the worker and not answered yet. */
+    DIRECT,
+    /** Sent straight, and no answer came: it may be carried out minutes later. */
+    DOUBTFUL,
+    /** A report has shown the attempt. */
+    SEEN
+  }
+
+  final Job job;
+  final int task;
+  final int attempt;
+  final String machine;
+  final long session;
+  final double since;
+
+  /** Zone it is counted in, null until the machine is located. */
+  String zone;
+
+  Phase phase = Phase.CLAIMING;
+  Launch launch = Launch.NONE;
+
+  /** The term under which the latest launch was sent. */
+  long launchTerm;
+
+  /** Sequence of the report whose response carried the launch. */
+  long launchSeq;
+
+  double launchAt;
+
+  /** Taken over from an earlier owner, who may have launched it. */
+  boolean fromPast;
+
+  Report.Stage stage;
+  double stageSince;
+
+  /** Told to stop, by us, for a reason other than its user's cancellation. */
+  boolean stopAsked;
+
+  double stopAskedAt;
+  boolean hardStop;
+
+  /** The job that this claim makes room for, or null. */
+  Job madeFor;
+
+  double killAt = Double.NEGATIVE_INFINITY;
+
+  /** When settling: true if the task is done. */
+  boolean done;
+
+  Claim(Job job, int task, int attempt, String machine, long session, double since) {
+    this.job = job;
+    this.task = task;
+    this.attempt = attempt;
+    this.machine = machine;
+    this.session = session;
+    this.since = since;
+    this.stageSince = since;
+  }
+
+  String taskId() {
+    return job.spec.taskId(task);
+  }
+
+  Room room() {
+    return Room.of(job.spec);
+  }
+
+  /** True while an order to launch it may still start it although no report shows it. */
+  boolean launchOpen() {
+    return launch == Launch.DIRECT || launch == Launch.DOUBTFUL || launch == Launch.IN_RESPONSE;
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/core/FleetPlanner.java
@@ -0,0 +1,328 @@
+package graderelay.core;
+
+import graderelay.service.Constants;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Sizes the fleet: what to rent for the work that waits, and what to give back. */
+final class FleetPlanner {
+  /** One kind of machine that can be rented. */
+  record Pool(String type, String zone, boolean spot) {}
+
+  private static final class Hiring {
+    final Pool pool;
+    int count;
+    final double since;
+
+    Hiring(Pool pool, int count, double since) {
+      this.pool = pool;
+      this.count = count;
+      this.since = since;
+    }
+  }
+
+  private static final class Refusal {
+    double until;
+    double pause = Constants.EMPTY_POOL_PAUSE_S;
+  }
+
+  /** A bin of the plan: a machine that is there, is coming, or would be rented. */
+  private static final class Bin {
+    final Machine machine;
+    final Pool pool;
+    Room free;
+
+    Bin(Machine machine, Pool pool, Room free) {
+      this.machine = machine;
+      this.pool = pool;
+      this.free = free;
+    }
+  }
+
+  private record Arrival(double at, JobSpec spec) {}
+
+  private final World world;
+  private final Map<Long, Hiring> hiring = new HashMap<>();
+  private final Map<Pool, Refusal> refused = new HashMap<>();
+  private final List<Arrival> arrivals = new ArrayList<>();
+  private long nextHire = 1;
+  private final double startedAt;
+
+  FleetPlanner(World world, double now) {
+    this.world = world;
+    this.startedAt = now;
+  }
+
+  void onArrival(JobSpec spec, double at) {
+    arrivals.add(new Arrival(at, spec));
+  }
+
+  void onHired(long id, List<String> names, boolean noCapacity, double now) {
+    Hiring h = hiring.remove(id);
+    if (h == null) {
+      return;
+    }
+    if (noCapacity || (names != null && names.size() < h.count)) {
+      Refusal r = refused.computeIfAbsent(h.pool, p -> new Refusal());
+      r.until = now + r.pause;
+      r.pause = Math.min(Constants.LONGEST_EMPTY_POOL_PAUSE_S, r.pause * 2);
+    } else if (names != null) {
+      refused.remove(h.pool);
+    }
+    if (names == null) {
+      return;
+    }
+    for (String n : names) {
+      Machine m = world.machine(n, now);
+      if (!m.reported) {
+        world.locate(m, h.pool.type(), h.pool.zone(), h.pool.spot());
+        m.rentedAt = h.since;
+      }
+    }
+  }
+
+  void plan(double now) {
+    if (world.types.isEmpty()) {
+      return;
+    }
+    arrivals.removeIf(a -> a.at() < now - Constants.ARRIVAL_MEMORY_S);
+    List<Bin> bins = new ArrayList<>();
+    for (Machine m : world.machines.values()) {
+      if (m.returning || m.drain || m.cordoned || m.noticeAt != null || m.leaseOver) {
+        continue;
+      }
+      if (!m.reported && m.type == null) {
+        continue;
+      }
+      if (now < m.quarantineUntil) {
+        continue;
+      }
+      bins.add(new Bin(m, new Pool(m.type, m.zone, m.spot), m.free()));
+    }
+    for (Hiring h : hiring.values()) {
+      for (int i = 0; i < h.count; i++) {
+        bins.add(new Bin(null, h.pool, Room.of(world.types.get(h.pool.type()))));
+      }
+    }
+    Map<Pool, Integer> wanted = new HashMap<>();
+    for (Job j : world.jobs.values()) {
+      if (j.waiting()) {
+        int n = Math.min(j.open.cardinality(), withinLimit(j.spec));
+        fill(j.spec, n, bins, wanted, now);
+      }
+    }
+    Set<Machine> needed = new HashSet<>();
+    for (var e : spare(now).entrySet()) {
+      spareFill(e.getKey(), e.getValue(), bins, wanted, needed, now);
+    }
+    for (var e : wanted.entrySet()) {
+      int n = Math.min(Constants.MOST_HIRED, e.getValue());
+      long id = nextHire++;
+      hiring.put(id, new Hiring(e.getKey(), n, now));
+      Pool p = e.getKey();
+      world.out.add(new Action.Hire(id, p.type(), p.zone(), p.spot(), n));
+    }
+    giveBack(needed, now);
+  }
+
+  private int withinLimit(JobSpec s) {
+    Team t = world.policy.team(s.team());
+    if (t == null || t.cpusMax() <= 0 || s.cpus() <= 0) {
+      return Integer.MAX_VALUE;
+    }
+    return (int) Math.max(0, (t.cpusMax() - world.use(s.team()).cpus() + Room.SLACK) / s.cpus());
+  }
+
+  private boolean suits(JobSpec s, Pool p) {
+    MachineType t = world.types.get(p.type());
+    return t != null
+        && s.fits(t)
+        && (s.zone() == null || s.zone().equals(p.zone()))
+        && (s.spot() || !p.spot());
+  }
+
+  private void fill(JobSpec s, int n, List<Bin> bins, Map<Pool, Integer> wanted, double now) {
+    Room need = Room.of(s);
+    int left = n;
+    for (Bin b : bins) {
+      if (left <= 0) {
+        return;
+      }
+      if (!suits(s, b.pool)) {
+        continue;
+      }
+      int k = Math.min(left, b.free.times(need));
+      b.free = less(b.free, need, k);
+      left -= k;
+    }
+    while (left > 0) {
+      Pool p = cheapest(s, left, now);
+      if (p == null) {
+        return;
+      }
+      Room room = Room.of(world.types.get(p.type()));
+      int k = Math.min(left, room.times(need));
+      bins.add(new Bin(null, p, less(room, need, k)));
+      left -= k;
+      if (wanted.merge(p, 1, Integer::sum) >= Constants.MOST_HIRED) {
+        return;
+      }
+    }
+  }
+
+  private void spareFill(
+      JobSpec s,
+      int n,
+      List<Bin> bins,
+      Map<Pool, Integer> wanted,
+      Set<Machine> needed,
+      double now) {
+    Room need = Room.of(s);
+    int left = n;
+    for (Bin b : bins) {
+      if (left <= 0) {
+        return;
+      }
+      if (!suits(s, b.pool)) {
+        continue;
+      }
+      int k = Math.min(left, b.free.times(need));
+      if (k > 0 && b.machine != null) {
+        needed.add(b.machine);
+      }
+      b.free = less(b.free, need, k);
+      left -= k;
+    }
+    fill(s, left, bins, wanted, now);
+  }
+
+  private static Room less(Room r, Room need, int k) {
+    return new Room(
+        r.cpus() - k * need.cpus(), r.gpus() - k * need.gpus(), r.memGb() - k * need.memGb());
+  }
+
+  /** The pool with the least price for each task that it would really hold. */
+  private Pool cheapest(JobSpec s, int left, double now) {
+    Pool best = null;
+    double bestPrice = Double.MAX_VALUE;
+    for (MachineType t : world.types.values()) {
+      int slots = Math.min(left, Room.of(t).times(Room.of(s)));
+      if (slots <= 0) {
+        continue;
+      }
+      for (String zone : t.zones()) {
+        for (boolean spot : new boolean[] {true, false}) {
+          Pool p = new Pool(t.name(), zone, spot);
+          Refusal r = refused.get(p);
+          if (!suits(s, p)
+              || (spot && !world.policy.tuning().spotAllowed())
+              || (r != null && now < r.until)) {
+            continue;
+          }
+          double price = t.priceOf(spot) / slots;
+          if (price < bestPrice) {
+            bestPrice = price;
+            best = p;
+          }
+        }
+      }
+    }
+    return best;
+  }
+
+  /**
+   * Room to keep free: for each class that should start sooner than a machine boots, what arrived
+   * within a boot time on average, and at least one job of the largest usual size.
+   */
+  private Map<JobSpec, Integer> spare(double now) {
+    Map<String, List<Arrival>> byClass = new HashMap<>();
+    for (Arrival a : arrivals) {
+      byClass.computeIfAbsent(a.spec().jobClass(), c -> new ArrayList<>()).add(a);
+    }
+    double boot = 0;
+    for (MachineType t : world.types.values()) {
+      boot = Math.max(boot, t.bootS());
+    }
+    Map<JobSpec, Integer> spare = new HashMap<>();
+    for (var e : byClass.entrySet()) {
+      Double wait = world.policy.waits().get(e.getKey());
+      if (wait == null || wait > boot) {
+        continue;
+      }
+      double span = Math.max(60, Math.min(Constants.ARRIVAL_MEMORY_S, now - startedAt));
+      int sum = 0;
+      int largest = 0;
+      for (Arrival a : e.getValue()) {
+        sum += a.spec().tasks();
+        largest = Math.max(largest, a.spec().tasks());
+      }
+      double mean = sum / span * boot * 1.5;
+      double n = Math.max(mean, largest) * world.policy.tuning().spareFactor();
+      JobSpec typical = e.getValue().get(e.getValue().size() - 1).spec();
+      spare.put(typical, (int) Math.ceil(n));
+    }
+    return spare;
+  }
+
+  private void giveBack(Set<Machine> needed, double now) {
+    List<String> back = new ArrayList<>();
+    for (Machine m : world.machines.values()) {
+      if (back.size() >= Constants.MOST_RETURNED) {
+        break;
+      }
+      if (m.returning) {
+        if (now - m.returnAskedAt > Constants.RETURN_RETRY_S) {
+          m.returnAskedAt = now;
+          back.add(m.name);
+        }
+        continue;
+      }
+      String why = reason(m, needed, now);
+      if (why != null) {
+        m.returning = true;
+        m.returnAskedAt = now;
+        back.add(m.name);
+        world.note("give back " + m.name + ": " + why);
+      }
+    }
+    if (!back.isEmpty()) {
+      world.out.add(new Action.GiveBack(back));
+    }
+  }
+
+  /** Why a machine should go, or null. */
+  private String reason(Machine m, Set<Machine> needed, double now) {
+    MachineType t = m.type == null ? null : world.types.get(m.type);
+    if (m.failed) {
+      return "it has failed";
+    }
+    if (!m.reported) {
+      if (t == null || !m.claims.isEmpty()) {
+        return null;
+      }
+      double limit = t.bootS() * Constants.BOOT_FACTOR + Constants.BOOT_GRACE_S;
+      return now - m.rentedAt > limit && now - m.knownSince > limit / 2 ? "it never came up" : null;
+    }
+    if (m.leaseOver) {
+      double silent = now - m.lastReport;
+      return silent > world.policy.leaseS() + Constants.SILENT_KEEP_S
+          ? "silent for too long"
+          : null;
+    }
+    if (!m.claims.isEmpty() || (m.last != null && !m.last.tasks().isEmpty())) {
+      return null;
+    }
+    if (m.bad) {
+      return "tasks of several jobs failed on it";
+    }
+    if (needed.contains(m) || m.cordoned) {
+      return null;
+    }
+    double idle = world.policy.tuning().idleS();
+    return now - m.idleSince > idle && now - m.knownSince > idle ? "idle" : null;
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/core/Job.java
@@ -0,0 +1,96 @@
+package graderelay.core;
+
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** The owner's working view of a live job. */
+final class Job {
+  /** One stored slice, with what is under way for it. */
+  static final class Slice {
+    final SliceKey key;
+    final int base;
+    SliceRecord record;
+    long mark;
+
+    /** A transaction on it has not been answered yet, so its mark is about to change. */
+    boolean inFlight;
+
+    /** What the watch said while the transaction was unanswered, or null. */
+    SliceRecord stash;
+
+    long stashMark;
+
+    Slice(SliceKey key, int base, SliceRecord record, long mark) {
+      this.key = key;
+      this.base = base;
+      this.record = record;
+      this.mark = mark;
+    }
+  }
+
+  final JobSpec spec;
+  long mark;
+  boolean stop;
+  boolean ending;
+
+  /** Slices stored or about to be; slices that no task was ever claimed of are absent. */
+  final TreeMap<Integer, Slice> slices = new TreeMap<>();
+
+  /** Tasks that nobody has claimed and that are not done. */
+  final BitSet open;
+
+  final Map<Integer, Claim> claims = new HashMap<>();
+
+  int doneCount;
+
+  /** When the queue's head began to wait; for fairness and for the operator's question why. */
+  double waitingSince;
+
+  /** Machines on which a task of this job failed by itself. */
+  final Set<String> errorMachines = new HashSet<>();
+
+  int errors;
+
+  /** No task is placed before this time, after failures on several machines. */
+  double notBefore;
+
+  /** Why the last round placed no task of it; for logs and the administration API. */
+  String waitReason = "new";
+
+  final Map<String, Integer> zoneClaims = new HashMap<>();
+
+  Job(JobSpec spec, long mark, boolean stop, double now) {
+    this.spec = spec;
+    this.mark = mark;
+    this.stop = stop;
+    this.waitingSince = now;
+    this.open = new BitSet(spec.tasks());
+    this.open.set(0, spec.tasks());
+  }
+
+  Slice slice(int index) {
+    return slices.computeIfAbsent(
+        index,
+        i ->
+            new Slice(
+                new SliceKey(spec.id(), i),
+                i * spec.sliceCap(),
+                SliceRecord.fresh(spec.sliceSize(i)),
+                0));
+  }
+
+  boolean waiting() {
+    return !stop && !ending && !open.isEmpty();
+  }
+
+  boolean complete() {
+    return doneCount == spec.tasks();
+  }
+
+  /** Claims that already give their place up for a waiting task of this job. */
+  int preempting;
+}
--- /dev/null
+++ b/src/main/java/graderelay/core/JobSpec.java
@@ -0,0 +1,71 @@
+package graderelay.core;
+
+import java.util.List;
+
+/**
+ * The terms of a job as its user gave them. They never change after acceptance, so a claim that was
+ * decided on them stays valid until the record itself changes.
+ *
+ * @param types allowed machine types, or null for any
+ * @param zone the only allowed zone, or null
+ * @param deadlineS seconds from submission, or null
+ * @param submittedMs time of day at acceptance
+ * @param sliceCap tasks in one slice; fixed at acceptance, so that stored slices keep their place
+ */
+public record JobSpec(
+    String id,
+    String jobClass,
+    String team,
+    Kind kind,
+    Priority priority,
+    int tasks,
+    double cpus,
+    double gpus,
+    double memGb,
+    String image,
+    double imageGb,
+    List<String> types,
+    String zone,
+    boolean oneZone,
+    boolean spread,
+    boolean spot,
+    double estimateS,
+    double checkpointS,
+    double saveS,
+    Double deadlineS,
+    long submittedMs,
+    int sliceCap) {
+
+  /** True if a machine of this type is among the allowed ones and could hold a task when empty. */
+  public boolean fits(MachineType type) {
+    return (types == null || types.contains(type.name()))
+        && (zone == null || type.zones().contains(zone))
+        && cpus <= type.cpus() + Room.SLACK
+        && gpus <= type.gpus() + Room.SLACK
+        && memGb <= type.memGb() + Room.SLACK;
+  }
+
+  /** The most tasks that may be in one zone: half of them rounded up when they are to be spread. */
+  public int zoneLimit() {
+    return spread ? (tasks + 1) / 2 : tasks;
+  }
+
+  /** The user's name of one task. */
+  public String taskId(int task) {
+    return id + "/" + task;
+  }
+
+  /** The slice that a task belongs to. */
+  public int sliceOf(int task) {
+    return task / sliceCap;
+  }
+
+  /** How many tasks slice {@code index} has. */
+  public int sliceSize(int index) {
+    return Math.min(sliceCap, tasks - index * sliceCap);
+  }
+
+  public boolean isService() {
+    return kind == Kind.SERVICE;
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/core/Machine.java
@@ -0,0 +1,109 @@
+package graderelay.core;
+
+import graderelay.service.Constants;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+
+/** The owner's view of one machine. */
+final class Machine {
+  final String name;
+  String type;
+  String zone;
+  boolean spot;
+  String address;
+
+  /** When we first knew of it. */
+  final double knownSince;
+
+  /** When it was rented, as far as known. */
+  double rentedAt;
+
+  boolean listed;
+  boolean reported;
+  long session;
+  long seq;
+  long seenTerm;
+  double lastReport = Double.NEGATIVE_INFINITY;
+
+  /** When we last answered a report: no lease of this worker can begin later. */
+  double lastAnswered = Double.NEGATIVE_INFINITY;
+
+  /** The session is over in any case: its lease has run out, counted safely. */
+  boolean leaseOver;
+
+  Double noticeAt;
+  boolean drain;
+  boolean cordoned;
+
+  /** The deletion was sent; nothing new is placed. */
+  boolean returning;
+
+  double returnAskedAt = Double.NEGATIVE_INFINITY;
+
+  /** Failures in a row without a success in between, and of which jobs. */
+  int errorStreak;
+
+  final Set<String> errorJobs = new HashSet<>();
+  double quarantineUntil = Double.NEGATIVE_INFINITY;
+
+  /** Tasks of several jobs failed here; to be replaced once empty. */
+  boolean bad;
+
+  /** The cloud lists it as failed: everything on it is gone. */
+  boolean failed;
+
+  double idleSince;
+  Room room = Room.NONE;
+  Room used = Room.NONE;
+
+  final Map<String, Claim> claims = new HashMap<>();
+  Report last;
+
+  /** Attempts that a late launch could start again if the worker forgot them. */
+  final Set<String> neverReap = new HashSet<>();
+
+  /** Images this machine has fetched, by last use; a guess that only guides placement. */
+  final LinkedHashMap<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
+
+  final Map<String, Double> fetching = new HashMap<>();
+
+  Machine(String name, double now) {
+    this.name = name;
+    this.knownSince = now;
+    this.rentedAt = now;
+    this.idleSince = now;
+  }
+
+  Room free() {
+    return room.minus(used);
+  }
+
+  void take(Room r) {
+    used = used.plus(r);
+  }
+
+  void give(Room r) {
+    used = claims.isEmpty() ? Room.NONE : used.minus(r);
+  }
+
+  /** Notes that the image is there; only the last few are remembered, as the machine does. */
+  void learnImage(String image, double now) {
+    images.put(image, now);
+    fetching.remove(image);
+    if (images.size() > Constants.MOST_IMAGES) {
+      images.remove(images.keySet().iterator().next());
+    }
+  }
+
+  boolean warm(String image) {
+    return images.containsKey(image);
+  }
+
+  /** True if a task here waits for the image, so that a second one joins the same fetch. */
+  boolean fetches(String image) {
+    return fetching.containsKey(image);
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/core/Policy.java
@@ -0,0 +1,44 @@
+package graderelay.core;
+
+import java.util.List;
+
+/**
+ * What the platform and the operators prescribe to the core.
+ *
+ * @param waits for each class with a wanted waiting time, that time
+ */
+public record Policy(
+    List<Team> teams,
+    double reportS,
+    double leaseS,
+    double cancelS,
+    double listLagS,
+    int txnOps,
+    int valueBytes,
+    java.util.Map<String, Double> waits,
+    Tuning tuning) {
+
+  /** Settings that operators may change at any time. */
+  public record Tuning(
+      int sliceCap,
+      int sampleSize,
+      int attemptCap,
+      double idleS,
+      double spareFactor,
+      boolean spotAllowed,
+      boolean claimsPaused,
+      String logLevel) {}
+
+  Team team(String name) {
+    for (Team t : teams) {
+      if (t.name().equals(name)) {
+        return t;
+      }
+    }
+    return null;
+  }
+
+  Policy with(Tuning t) {
+    return new Policy(teams, reportS, leaseS, cancelS, listLagS, txnOps, valueBytes, waits, t);
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/core/Priority.java
@@ -0,0 +1,14 @@
+package graderelay.core;
+
+/** How urgent a job is; the declared order is the order of preference. */
+public enum Priority {
+  PROD,
+  URGENT,
+  NORMAL,
+  LOW;
+
+  /** True if work of this priority may push work of the other one off a machine. */
+  public boolean beats(Priority other) {
+    return compareTo(other) < 0;
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/core/Report.java
@@ -0,0 +1,38 @@
+package graderelay.core;
+
+import java.util.List;
+
+/**
+ * What a worker says of itself.
+ *
+ * @param term the highest term the worker has seen
+ * @param noticeS seconds until the cloud takes the machine, or null
+ */
+public record Report(
+    String machine,
+    String address,
+    String type,
+    String zone,
+    boolean spot,
+    long session,
+    long seq,
+    long term,
+    Double noticeS,
+    List<Entry> tasks) {
+
+  /** State of a task on the worker. */
+  public enum Stage {
+    FETCHING,
+    RUNNING,
+    SAVING,
+    EXITED
+  }
+
+  /** One task on the worker; {@code why} is empty unless it has exited. */
+  public record Entry(String task, int attempt, Stage stage, String why, boolean saved) {}
+
+  /** Newer means the larger session, then the larger sequence. */
+  public boolean newerThan(long otherSession, long otherSeq) {
+    return session > otherSession || (session == otherSession && seq > otherSeq);
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/core/Room.java
@@ -0,0 +1,44 @@
+package graderelay.core;
+
+/** Amounts of a machine's resources. */
+public record Room(double cpus, double gpus, double memGb) {
+  /** Decimal amounts are summed up in floating point; this much of a unit is rounding, not need. */
+  static final double SLACK = 1e-6;
+
+  public static final Room NONE = new Room(0, 0, 0);
+
+  static Room of(JobSpec s) {
+    return new Room(s.cpus(), s.gpus(), s.memGb());
+  }
+
+  static Room of(MachineType t) {
+    return new Room(t.cpus(), t.gpus(), t.memGb());
+  }
+
+  Room plus(Room o) {
+    return new Room(cpus + o.cpus, gpus + o.gpus, memGb + o.memGb);
+  }
+
+  Room minus(Room o) {
+    return new Room(cpus - o.cpus, gpus - o.gpus, memGb - o.memGb);
+  }
+
+  boolean holds(Room o) {
+    return o.cpus <= cpus + SLACK && o.gpus <= gpus + SLACK && o.memGb <= memGb + SLACK;
+  }
+
+  /** How many of these fit at once. */
+  int times(Room o) {
+    double n = 1e9;
+    if (o.cpus > 0) {
+      n = Math.min(n, (cpus + SLACK) / o.cpus);
+    }
+    if (o.gpus > 0) {
+      n = Math.min(n, (gpus + SLACK) / o.gpus);
+    }
+    if (o.memGb > 0) {
+      n = Math.min(n, (memGb + SLACK) / o.memGb);
+    }
+    return (int) Math.max(0, Math.floor(n));
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/core/SliceRecord.java
@@ -0,0 +1,96 @@
+package graderelay.core;
+
+import java.util.Arrays;
+
+/**
+ * The stored state of up to a slice cap of tasks of one job. It is the truth about which attempt of
+ * which task is claimed on which machine and session. Immutable: a change makes a copy.
+ */
+public final class SliceRecord {
+  private final int[] attempts;
+  private final String[] machines;
+  private final long[] sessions;
+  private final boolean[] done;
+
+  public SliceRecord(int[] attempts, String[] machines, long[] sessions, boolean[] done) {
+    this.attempts = attempts;
+    this.machines = machines;
+    this.sessions = sessions;
+    this.done = done;
+  }
+
+  /** A slice none of whose tasks was ever claimed. */
+  public static SliceRecord fresh(int tasks) {
+    return new SliceRecord(new int[tasks], new String[tasks], new long[tasks], new boolean[tasks]);
+  }
+
+  public int size() {
+    return attempts.length;
+  }
+
+  /** The number of the last attempt, 0 if the task was never claimed. */
+  public int attempt(int i) {
+    return attempts[i];
+  }
+
+  /** The machine it is claimed on, or null. */
+  public String machine(int i) {
+    return machines[i];
+  }
+
+  public long session(int i) {
+    return sessions[i];
+  }
+
+  public boolean done(int i) {
+    return done[i];
+  }
+
+  public int doneCount() {
+    int n = 0;
+    for (boolean d : done) {
+      n += d ? 1 : 0;
+    }
+    return n;
+  }
+
+  public int claimedCount() {
+    int n = 0;
+    for (String m : machines) {
+      n += m != null ? 1 : 0;
+    }
+    return n;
+  }
+
+  SliceRecord copy() {
+    return new SliceRecord(attempts.clone(), machines.clone(), sessions.clone(), done.clone());
+  }
+
+  /** Only on a fresh copy: claims task i for a new attempt. */
+  void claim(int i, int attempt, String machine, long session) {
+    attempts[i] = attempt;
+    machines[i] = machine;
+    sessions[i] = session;
+  }
+
+  /** Only on a fresh copy: ends the claim of task i. */
+  void release(int i, boolean isDone) {
+    machines[i] = null;
+    sessions[i] = 0;
+    done[i] |= isDone;
+  }
+
+  @Override
+  public boolean equals(Object o) {
+    return o instanceof SliceRecord s
+        && Arrays.equals(attempts, s.attempts)
+        && Arrays.equals(machines, s.machines)
+        && Arrays.equals(sessions, s.sessions)
+        && Arrays.equals(done, s.done);
+  }
+
+  @Override
+  public int hashCode() {
+    return Arrays.hashCode(attempts) * 31 + Arrays.hashCode(machines);
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/core/World.java
@@ -0,0 +1,134 @@
+package graderelay.core;
+
+import graderelay.service.Constants;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Everything the owner knows, with the sums that placement decides by. */
+final class World {
+  final Map<String, Job> jobs = new LinkedHashMap<>();
+  final Map<String, Machine> machines = new LinkedHashMap<>();
+  Map<String, MachineType> types = Map.of();
+
+  /** What each team's claims take together: claims, not reports. */
+  final Map<String, Room> teamUse = new HashMap<>();
+
+  final List<Action> out = new ArrayList<>();
+  Policy policy;
+
+  World(Policy policy) {
+    this.policy = policy;
+  }
+
+  void note(String text) {
+    out.add(new Action.Note(text));
+  }
+
+  Room use(String team) {
+    return teamUse.getOrDefault(team, Room.NONE);
+  }
+
+  /** True if one more task of this size keeps the team within its limit. */
+  boolean withinLimit(String team, Room extra) {
+    Team t = policy.team(team);
+    if (t == null) {
+      return true;
+    }
+    Room u = use(team).plus(extra);
+    return (t.cpusMax() <= 0 || u.cpus() <= t.cpusMax() + Room.SLACK)
+        && (t.gpusMax() <= 0 || u.gpus() <= t.gpusMax() + Room.SLACK);
+  }
+
+  /** True if this much more work of the team stays within what it is guaranteed. */
+  boolean withinGuarantee(String team, Room extra) {
+    Team t = policy.team(team);
+    if (t == null || (t.cpus() <= 0 && t.gpus() <= 0)) {
+      return false;
+    }
+    Room u = use(team).plus(extra);
+    return u.cpus() <= t.cpus() + Room.SLACK && u.gpus() <= t.gpus() + Room.SLACK;
+  }
+
+  /** True if the team would still use at least its guarantee without this much of it. */
+  boolean beyondGuarantee(String team, Room part) {
+    Team t = policy.team(team);
+    if (t == null) {
+      return true;
+    }
+    Room u = use(team).minus(part);
+    return u.cpus() + Room.SLACK >= t.cpus() && u.gpus() + Room.SLACK >= t.gpus();
+  }
+
+  Machine machine(String name, double now) {
+    return machines.computeIfAbsent(name, n -> new Machine(n, now));
+  }
+
+  /** Counts a claim in every sum. */
+  void add(Claim c, double now) {
+    Machine m = machine(c.machine, now);
+    m.claims.put(c.taskId(), c);
+    m.take(c.room());
+    teamUse.merge(c.job.spec.team(), c.room(), Room::plus);
+    c.job.claims.put(c.task, c);
+    c.job.open.clear(c.task);
+    if (m.zone != null) {
+      c.job.zoneClaims.merge(m.zone, 1, Integer::sum);
+      c.zone = m.zone;
+    }
+  }
+
+  /** Takes a claim out of every sum. */
+  void remove(Claim c, double now) {
+    Machine m = machine(c.machine, now);
+    m.claims.remove(c.taskId(), c);
+    m.give(c.room());
+    if (m.claims.isEmpty()) {
+      m.idleSince = now;
+    }
+    teamUse.merge(c.job.spec.team(), Room.NONE.minus(c.room()), Room::plus);
+    c.job.claims.remove(c.task, c);
+    if (c.zone != null) {
+      c.job.zoneClaims.merge(c.zone, -1, Integer::sum);
+    }
+    if (c.madeFor != null) {
+      c.madeFor.preempting--;
+      c.madeFor = null;
+    }
+  }
+
+  /** Learns where a machine stands; claims taken over before that are counted in its zone now. */
+  void locate(Machine m, String type, String zone, boolean spot) {
+    m.type = type;
+    m.spot = spot;
+    MachineType t = types.get(type);
+    m.room = t == null ? Room.NONE : Room.of(t);
+    if (m.zone == null && zone != null) {
+      m.zone = zone;
+      for (Claim c : m.claims.values()) {
+        if (c.zone == null) {
+          c.zone = zone;
+          c.job.zoneClaims.merge(zone, 1, Integer::sum);
+        }
+      }
+    }
+  }
+
+  /**
+   * True if the machine can be given a task now: it reports, and nothing is known against it. A
+   * machine that missed two reports is no target, since a launch to it would be of unknown fate.
+   */
+  boolean usable(Machine m, double now) {
+    return m.reported
+        && !m.leaseOver
+        && !m.drain
+        && !m.cordoned
+        && !m.returning
+        && m.noticeAt == null
+        && now >= m.quarantineUntil
+        && m.room.cpus() > 0
+        && now - m.lastReport < policy.reportS() * Constants.SILENT_REPORTS;
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/net/TokenBucket.java
@@ -0,0 +1,139 @@
+package graderelay.net;
+
+import graderelay.service.Constants;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.Consumer;
+
+/**
+ * Tokens for calls to a service with a limited rate. Calls wait by urgency; the owner's renewals
+ * never wait at all, and when too many wait, the least urgent is refused at once.
+ */
+public final class TokenBucket {
+  /** What a call is for, the most urgent first. */
+  public enum Use {
+    RENEWAL,
+    CLAIM,
+    SUBMISSION,
+    READ
+  }
+
+  private record Waiting(double cost, Consumer<Boolean> go) {}
+
+  private final Loop loop;
+  private final double rate;
+  private final double burst;
+  private final Deque<Waiting>[] queues;
+  private double tokens;
+  private double filled;
+  private int waiting;
+  private boolean timer;
+  private long refusedCount;
+  private double waitedS;
+
+  @SuppressWarnings({"unchecked", "rawtypes"})
+  public TokenBucket(Loop loop, double rate, double burst) {
+    this.loop = loop;
+    this.rate = rate;
+    this.burst = Math.max(1, burst);
+    this.tokens = this.burst;
+    this.filled = loop.now();
+    this.queues = new Deque[Use.values().length];
+    for (int i = 0; i < queues.length; i++) {
+      queues[i] = new ArrayDeque<>();
+    }
+  }
+
+  /** Calls {@code go} with true once there are tokens, or with false if the call is refused. */
+  public void take(Use use, double cost, Consumer<Boolean> go) {
+    refill();
+    if (use == Use.RENEWAL) {
+      tokens -= cost; // May go below zero: the others wait for it.
+      go.accept(true);
+      return;
+    }
+    if (waiting == 0 && tokens >= Math.min(cost, burst)) {
+      tokens -= cost;
+      go.accept(true);
+      return;
+    }
+    if (waiting >= Constants.MOST_WAITING_CALLS && !refuseLessUrgent(use)) {
+      refusedCount++;
+      go.accept(false);
+      return;
+    }
+    double since = loop.now();
+    queues[use.ordinal()].add(
+        new Waiting(
+            cost,
+            ok -> {
+              waitedS += loop.now() - since;
+              go.accept(ok);
+            }));
+    waiting++;
+    arm();
+  }
+
+  /** The service said that there were too many: nothing more for a moment. */
+  public void penalty() {
+    refill();
+    tokens = Math.min(tokens, 0);
+  }
+
+  private boolean refuseLessUrgent(Use use) {
+    for (int i = queues.length - 1; i > use.ordinal(); i--) {
+      Waiting w = queues[i].pollFirst();
+      if (w != null) {
+        waiting--;
+        refusedCount++;
+        w.go().accept(false);
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void refill() {
+    double now = loop.now();
+    tokens = Math.min(burst, tokens + (now - filled) * rate);
+    filled = now;
+  }
+
+  private void arm() {
+    if (timer || waiting == 0) {
+      return;
+    }
+    timer = true;
+    double missing = 1 - tokens;
+    loop.after(Math.max(0.005, missing / rate), this::release);
+  }
+
+  private void release() {
+    timer = false;
+    refill();
+    for (Deque<Waiting> q : queues) {
+      while (!q.isEmpty() && tokens >= Math.min(q.peekFirst().cost(), burst)) {
+        Waiting w = q.pollFirst();
+        waiting--;
+        tokens -= w.cost();
+        w.go().accept(true);
+      }
+      if (!q.isEmpty()) {
+        break;
+      }
+    }
+    arm();
+  }
+
+  public int waiting() {
+    return waiting;
+  }
+
+  public long refused() {
+    return refusedCount;
+  }
+
+  public double waitedSeconds() {
+    return waitedS;
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/service/Constants.java
@@ -0,0 +1,246 @@
+package graderelay.service;
+
+/**
+ * Every constant of the program, with its unit and the reason for its value. What a deployment
+ * prescribes (rates, leases, sizes) is not here: it comes from the settings file or the cloud.
+ */
+public final class Constants {
+  private Constants() {}
+
+  // ---------------------------------------------------------------- placement
+
+  /** Tasks. Slice cap of the design: a record of this many fits a value with room to spare. */
+  public static final int SLICE_CAP = 500;
+
+  /** Bytes that one task takes in a slice record at most, machine name included. */
+  public static final int SLICE_BYTES_PER_TASK = 32;
+
+  /** Bytes of slice records in one transaction; the protocol allows 64 KiB in all. */
+  public static final int TXN_BYTES = 40 * 1024;
+
+  /** Machines. Sample size of the design, on the ordinary path. */
+  public static final int SAMPLE_SIZE = 3;
+
+  /** Failures of one job in a row before it backs off; the design's attempt cap, see design.md. */
+  public static final int ATTEMPT_CAP = 3;
+
+  /** Seconds between rounds at least, so that a burst of events is placed together. */
+  public static final double ROUND_EVERY_S = 0.01;
+
+  /** Seconds between rounds at most, for what only time changes. */
+  public static final double ROUND_AT_LEAST_EVERY_S = 0.5;
+
+  /** Report intervals without a report after which a machine is no target for new tasks. */
+  public static final double SILENT_REPORTS = 2.2;
+
+  /** Seconds of lost work that one image fetch is counted as when choosing whom to stop. */
+  public static final double COLD_COST_S = 20;
+
+  /** Seconds between repeated direct kills of one task; reports' responses repeat them anyway. */
+  public static final double KILL_AGAIN_S = 3;
+
+  /** Seconds on top of the time a task needs to save, for the way to the worker. */
+  public static final double SAVE_SLACK_S = 2;
+
+  // ---------------------------------------------------------------- proof and fences
+
+  /** Seconds beyond a worker's lease: timers fire late on a starved process. */
+  public static final double LEASE_MARGIN_S = 0.5;
+
+  /** Share by which two steady clocks may differ: 0.05% on either side. */
+  public static final double DRIFT = 0.001;
+
+  /** Seconds that a launch of unknown fate may block a stop before the term is raised. */
+  public static final double DOUBT_S = 5;
+
+  /** Seconds between raises of the term: workers take a higher one at most twice a lease. */
+  public static final double RAISE_PAUSE_S = 8;
+
+  // ---------------------------------------------------------------- failures of tasks
+
+  /** Errors in a row on one machine, of several jobs, after which it is replaced. */
+  public static final int BAD_STREAK = 3;
+
+  /** Seconds without new tasks after an error on a machine; doubles with each in a row. */
+  public static final double QUARANTINE_S = 5;
+
+  /** Seconds; longest quarantine, so that a machine that has recovered is used again. */
+  public static final double LONGEST_QUARANTINE_S = 60;
+
+  /** Seconds of a job's first pause after failing on several machines; doubles. */
+  public static final double JOB_BACKOFF_S = 2;
+
+  /** Seconds; longest pause of such a job: an accepted job must run, so it is tried on. */
+  public static final double LONGEST_JOB_BACKOFF_S = 30;
+
+  // ---------------------------------------------------------------- fleet
+
+  /** Seconds between plans of the fleet; a machine takes many times this to boot. */
+  public static final double PLAN_EVERY_S = 1.0;
+
+  /** Seconds that a machine may be idle: well under the minute that is charged at least. */
+  public static final double IDLE_S = 30;
+
+  /** Times the spare room that arrivals of the last minutes suggest. */
+  public static final double SPARE_FACTOR = 1.0;
+
+  /** Seconds; first pause after the cloud called a pool empty. */
+  public static final double EMPTY_POOL_PAUSE_S = 6;
+
+  /** Seconds; longest such pause: capacity comes back without a sign. */
+  public static final double LONGEST_EMPTY_POOL_PAUSE_S = 24;
+
+  /** Seconds for which arrivals are remembered to size the spare room. */
+  public static final double ARRIVAL_MEMORY_S = 300;
+
+  /** Times the nominal boot time after which a machine is given up; some take several times. */
+  public static final double BOOT_FACTOR = 3;
+
+  /** Seconds on top of that. */
+  public static final double BOOT_GRACE_S = 15;
+
+  /** Seconds that a silent machine is kept once its lease has run out: short cuts heal. */
+  public static final double SILENT_KEEP_S = 30;
+
+  /** Machines in one rental request; a limit of the protocol. */
+  public static final int MOST_HIRED = 50;
+
+  /** Machines in one deletion request; a limit of the protocol. */
+  public static final int MOST_RETURNED = 100;
+
+  /** Seconds before a deletion without an answer is sent again. */
+  public static final double RETURN_RETRY_S = 4;
+
+  /** Images remembered of a machine; only a guide for placement. */
+  public static final int MOST_IMAGES = 64;
+
+  /** Seconds between lists of the machines; the list itself lags by several. */
+  public static final double LIST_EVERY_S = 4;
+
+  /** Seconds between reads of the machine types by the owner: spot prices move slowly. */
+  public static final double TYPES_EVERY_S = 60;
+
+  /** Seconds before a failed read of the types is repeated; without them nothing is accepted. */
+  public static final double TYPES_RETRY_S = 1;
+
+  // ---------------------------------------------------------------- ownership
+
+  /** Share of a worker's lease that the owner's hold lasts: takeovers must beat the lease. */
+  public static final double HOLD_OF_LEASE = 0.3;
+
+  /** Share of the hold between renewals, so that two may be lost. */
+  public static final double RENEW_OF_HOLD = 0.25;
+
+  /** Seconds before the hold's own end at which the owner counts it as over. */
+  public static final double HOLD_MARGIN_S = 0.25;
+
+  /** Seconds of pause before a node tries again to take over, with as much again at random. */
+  public static final double TAKEOVER_RETRY_S = 0.15;
+
+  // ---------------------------------------------------------------- state service
+
+  /** Share of the deployment's request rate that one node gives itself. */
+  public static final double REQUEST_SHARE = 0.42;
+
+  /** Share of the deployment's change rate that one node gives itself. */
+  public static final double CHANGE_SHARE = 0.6;
+
+  /** Seconds to wait for an ordinary answer: usually 10 ms, at times a few hundred. */
+  public static final double STATE_TIMEOUT_S = 1.2;
+
+  /** Milliseconds that a watch is asked to wait; short, so that its end shows a healthy path. */
+  public static final int WATCH_BLOCK_MS = 1000;
+
+  /** Seconds between catch-up reads; all reads in between share the next one. */
+  public static final double CATCH_UP_EVERY_S = 0.04;
+
+  /** Seconds between watches at the least, so that a burst of changes costs few requests. */
+  public static final double WATCH_EVERY_S = 0.02;
+
+  /** Seconds before a failed call to the state service is repeated. */
+  public static final double STATE_RETRY_S = 0.2;
+
+  /** Items in one page of a list: each may be near the value limit of some 16 KiB. */
+  public static final int PAGE_ITEMS = 200;
+
+  /** Requests that may wait for tokens; beyond that the least urgent is refused. */
+  public static final int MOST_WAITING_CALLS = 512;
+
+  /** Final states kept in memory; older ones are read from the state service. */
+  public static final int FINAL_STATES = 4096;
+
+  // ---------------------------------------------------------------- users
+
+  /** Seconds after which a request that could not be decided is answered with 503. */
+  public static final double USER_DEADLINE_S = 3.5;
+
+  /** Seconds for a poll; its user waits for two. */
+  public static final double POLL_DEADLINE_S = 1.7;
+
+  /** Seconds that a user is told to wait before the next try. */
+  public static final int RETRY_AFTER_S = 1;
+
+  /** Seconds without an answer of the state service after which this node is not ready. */
+  public static final double READY_S = 2.5;
+
+  /** Submissions under way at once; beyond that the newest is refused at once. */
+  public static final int MOST_SUBMISSIONS = 400;
+
+  /** Tasks of one job; a limit of the protocol. */
+  public static final int MOST_TASKS = 100_000;
+
+  /** Characters of a name in a submission, so that a job's record stays small. */
+  public static final int MOST_NAME = 128;
+
+  /** Machine types that a submission may name, for the same reason. */
+  public static final int MOST_TYPES = 32;
+
+  /** Largest amount of a resource or of seconds in a submission: more is a mistake. */
+  public static final double MOST_AMOUNT = 1e9;
+
+  // ---------------------------------------------------------------- network
+
+  /** Bytes of a request's body; a limit of the protocol. */
+  public static final int MOST_BODY = 64 * 1024;
+
+  /** Bytes of a response's body that we take: a watch has no limit of its own. */
+  public static final int MOST_RESPONSE = 8 * 1024 * 1024;
+
+  /** Bytes of a request line, and of all its headers. */
+  public static final int MOST_LINE = 4096;
+
+  public static final int MOST_HEADERS = 8192;
+
+  /** Seconds to wait for a connection. */
+  public static final double CONNECT_TIMEOUT_S = 1.0;
+
+  /** Seconds to wait for a worker's answer to direct orders. */
+  public static final double WORKER_TIMEOUT_S = 2.0;
+
+  /** Seconds to wait for the cloud. */
+  public static final double CLOUD_TIMEOUT_S = 5.0;
+
+  /** Seconds to wait for another controller. */
+  public static final double MESH_TIMEOUT_S = 1.0;
+
+  /** Orders in one response to a worker, so that its line stays well below 64 KiB. */
+  public static final int MOST_ORDERS = 300;
+
+  /** Seconds after which an idle connection is closed. */
+  public static final double IDLE_CONNECTION_S = 90;
+
+  /** Seconds in which a request must have arrived whole. */
+  public static final double WHOLE_REQUEST_S = 10;
+
+  /** Share of the allowed connections at which idle ones are closed, the longest idle first. */
+  public static final double CONNECTION_SHARE = 0.75;
+
+  /** Idle connections kept to one address. */
+  public static final int KEPT_CONNECTIONS = 4;
+
+  /** Seconds between looks at connections. */
+  public static final double SWEEP_EVERY_S = 2;
+
+  /** Seconds between ticks of the core. */
+  public static final double TICK_S = 0.25;
+}
--- /dev/null
+++ b/src/main/java/graderelay/service/FleetDuty.java
@@ -0,0 +1,338 @@
+package graderelay.service;
+
+import graderelay.cloud.CloudClient;
+import graderelay.core.Action;
+import graderelay.core.MachineType;
+import graderelay.core.Order;
+import graderelay.core.Policy;
+import graderelay.core.Report;
+import graderelay.core.Scheduler;
+import graderelay.core.Scheduler.Outcome;
+import graderelay.core.Scheduler.Sent;
+import graderelay.core.SliceKey;
+import graderelay.net.Loop;
+import graderelay.net.TokenBucket.Use;
+import graderelay.state.Cache;
+import graderelay.state.Ownership;
+import graderelay.state.StateClient;
+import graderelay.state.StateClient.How;
+import graderelay.wire.StateCodec;
+import graderelay.worker.WorkerClient;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The owner's duty: runs the core for one term of office and carries out what it decides. */
+final class FleetDuty {
+  private static final Logger LOG = LoggerFactory.getLogger("fleet");
+
+  private final Loop loop;
+  private final StateClient state;
+  private final Cache cache;
+  private final Ownership ownership;
+  private final CloudClient cloud;
+  private final WorkerClient workers;
+  private final Scheduler core;
+  private final long firstTerm;
+  private boolean closed;
+  private boolean stepping;
+  private Loop.Timer stepTimer;
+  private Loop.Timer tickTimer;
+  private Loop.Timer listTimer;
+  private boolean listed;
+  private final double startedAt;
+  private final double listLagS;
+
+  FleetDuty(
+      Loop loop,
+      StateClient state,
+      Cache cache,
+      Ownership ownership,
+      CloudClient cloud,
+      WorkerClient workers,
+      Policy policy,
+      RandomGenerator random,
+      List<MachineType> types) {
+    this.loop = loop;
+    this.state = state;
+    this.cache = cache;
+    this.ownership = ownership;
+    this.cloud = cloud;
+    this.workers = workers;
+    this.firstTerm = ownership.term();
+    this.startedAt = loop.now();
+    this.listLagS = policy.listLagS();
+    this.core = new Scheduler(policy, firstTerm, random, loop.now());
+    core.onTypes(types);
+  }
+
+  Scheduler core() {
+    return core;
+  }
+
+  /** Takes the records as they are now, which the caller has just caught up with. */
+  void start() {
+    double now = loop.now();
+    for (Cache.Entry e : cache.jobs().values()) {
+      onJob(e);
+    }
+    for (Cache.Entry e : cache.jobs().values()) {
+      e.slices.forEach(
+          (i, s) -> core.onSlice(new SliceKey(e.spec.id(), i), s.record(), s.mark(), now));
+    }
+    cache.looseSlices().forEach((k, s) -> core.onSlice(k, s.record(), s.mark(), now));
+    core.loaded(now);
+    list();
+    tick();
+  }
+
+  void close() {
+    closed = true;
+    for (Loop.Timer t : new Loop.Timer[] {stepTimer, tickTimer, listTimer}) {
+      if (t != null) {
+        t.cancel();
+      }
+    }
+  }
+
+  // ---------------------------------------------------------------- events
+
+  void onJob(Cache.Entry e) {
+    double at = loop.now() - (loop.wallMs() - e.spec.submittedMs()) / 1000.0;
+    core.onJob(e.spec, e.stop, e.mark, Math.min(at, loop.now()), loop.now());
+    stepSoon();
+  }
+
+  void onJobGone(String id) {
+    core.onJobGone(id, loop.now());
+    stepSoon();
+  }
+
+  void onSlice(SliceKey key, Cache.SliceEntry s) {
+    core.onSlice(key, s.record(), s.mark(), loop.now());
+    stepSoon();
+  }
+
+  void onSliceGone(SliceKey key) {
+    core.onSliceGone(key);
+  }
+
+  void onTypes(List<MachineType> types) {
+    core.onTypes(types);
+    stepSoon();
+  }
+
+  void onTuning(Policy.Tuning t) {
+    core.onTuning(t);
+    stepSoon();
+  }
+
+  /** Takes a report and returns the orders for its response; the caller has checked our hold. */
+  List<Order> onReport(Report r) {
+    double now = loop.now();
+    core.onReport(r, now);
+    List<Order> orders = core.ordersFor(r, now);
+    core.answered(r.machine(), now);
+    stepSoon();
+    return orders;
+  }
+
+  // ---------------------------------------------------------------- time
+
+  private void tick() {
+    if (closed) {
+      return;
+    }
+    core.tick(loop.now());
+    carryOut();
+    tickTimer = loop.after(Constants.TICK_S, this::tick);
+  }
+
+  /** Several events of one moment are decided on together. */
+  private void stepSoon() {
+    if (!stepping && !closed) {
+      stepping = true;
+      loop.execute(this::step);
+    }
+  }
+
+  private void step() {
+    stepping = false;
+    if (closed) {
+      return;
+    }
+    double wait = core.step(loop.now());
+    carryOut();
+    if (wait < Constants.ROUND_EVERY_S * 2 && !stepping) {
+      stepping = true;
+      stepTimer = loop.after(wait, this::step);
+    }
+  }
+
+  private void list() {
+    if (closed) {
+      return;
+    }
+    cloud.list(
+        machines -> {
+          if (closed) {
+            return;
+          }
+          if (machines != null) {
+            listed = true;
+            core.onList(machines, loop.now());
+            stepSoon();
+          }
+          listTimer = loop.after(Constants.LIST_EVERY_S, this::list);
+        });
+  }
+
+  // ---------------------------------------------------------------- actions
+
+  private void carryOut() {
+    for (Action a : core.take()) {
+      if (a instanceof Action.Note n) {
+        LOG.info("{}", n.text());
+      } else if (a instanceof Action.Write w) {
+        write(w);
+      } else if (a instanceof Action.Command c) {
+        command(c);
+      } else if (a instanceof Action.Hire h) {
+        hire(h);
+      } else if (a instanceof Action.GiveBack g) {
+        giveBack(g);
+      } else if (a instanceof Action.RaiseTerm) {
+        ownership.raise(
+            term -> {
+              if (!closed) {
+                core.onTerm(term, loop.now());
+                stepSoon();
+              }
+            });
+      }
+    }
+  }
+
+  private void write(Action.Write w) {
+    StateClient.Txn txn = new StateClient.Txn().when(StateCodec.OWNER, ownership.ownerMark());
+    java.util.Set<String> jobs = new java.util.HashSet<>();
+    for (Action.SlicePut p : w.slices()) {
+      String key = StateCodec.sliceKey(p.key());
+      txn.when(key, p.mark()).put(key, StateCodec.slice(p.record()));
+      String job = StateCodec.jobKey(p.key().job());
+      if (jobs.add(job)) {
+        txn.when(job, p.jobMark());
+      }
+    }
+    for (Action.JobEnd e : w.ends()) {
+      String key = StateCodec.jobKey(e.job());
+      txn.when(key, e.jobMark()).drop(key);
+      txn.put(StateCodec.endKey(e.job()), StateCodec.end(e.cancelled(), e.tasks()));
+      for (Action.SliceDrop d : e.slices()) {
+        String s = StateCodec.sliceKey(d.key());
+        txn.when(s, d.mark()).drop(s);
+      }
+    }
+    for (Action.SliceDrop d : w.drops()) {
+      String s = StateCodec.sliceKey(d.key());
+      txn.when(s, d.mark()).drop(s);
+    }
+    state.commit(txn, Use.CLAIM, r -> written(w.id(), r));
+  }
+
+  private void written(long id, StateClient.Result r) {
+    if (closed) {
+      return;
+    }
+    if (r.done()) {
+      core.onWrite(id, Outcome.COMMITTED, r.revision(), loop.now());
+      carryOut();
+      stepSoon();
+    } else if (r.how() == How.NOT_EXECUTED) {
+      loop.after(Constants.STATE_RETRY_S, () -> answer(id, Outcome.REFUSED));
+    } else {
+      LOG.info("transaction {}: {} {}", id, r.how(), r.body() == null ? "" : r.body());
+      // The records as they are now come first; the core decides on them.
+      catchUpThen(id, r.how() == How.UNKNOWN ? Outcome.UNKNOWN : Outcome.REFUSED);
+    }
+  }
+
+  private void catchUpThen(long id, Outcome outcome) {
+    cache.catchUp(
+        ok -> {
+          if (closed) {
+            return;
+          }
+          if (ok) {
+            answer(id, outcome);
+          } else {
+            loop.after(Constants.STATE_RETRY_S, () -> catchUpThen(id, outcome));
+          }
+        });
+  }
+
+  private void answer(long id, Outcome outcome) {
+    if (!closed) {
+      core.onWrite(id, outcome, 0, loop.now());
+      stepSoon();
+    }
+  }
+
+  private void command(Action.Command c) {
+    if (!ownership.entitled()) {
+      core.onSent(c, Sent.NEVER_LEFT, null, loop.now());
+      return;
+    }
+    LOG.debug("to {}: {}", c.machine(), c.orders());
+    workers.send(
+        c,
+        (how, report) -> {
+          if (closed) {
+            return;
+          }
+          if (how != Sent.EXECUTED) {
+            LOG.info("orders to {} ended {}: {}", c.machine(), how, c.orders());
+          }
+          core.onSent(c, how, report, loop.now());
+          stepSoon();
+        });
+  }
+
+  private void hire(Action.Hire h) {
+    boolean first = firstTerm == 1;
+    // An earlier owner may have rented what we would rent now; the list shows it only later.
+    if (!first && (!listed || loop.now() < startedAt + listLagS)) {
+      core.onHired(h.id(), null, false, loop.now());
+      return;
+    }
+    String name = "hire-" + firstTerm + "-" + h.id();
+    LOG.info(
+        "hire {} {} in {}{} as {}", h.count(), h.type(), h.zone(), h.spot() ? ", spot" : "", name);
+    cloud.hire(
+        name,
+        h.type(),
+        h.zone(),
+        h.spot(),
+        h.count(),
+        r -> {
+          if (closed) {
+            return;
+          }
+          LOG.info("{}: {}", name, r.noCapacity() ? "no capacity" : r.names());
+          core.onHired(h.id(), r.names(), r.noCapacity(), loop.now());
+          stepSoon();
+        });
+  }
+
+  private void giveBack(Action.GiveBack g) {
+    cloud.giveBack(
+        g.machines(),
+        ok -> {
+          if (ok && !closed) {
+            core.onGivenBack(g.machines(), loop.now());
+            stepSoon();
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/service/Node.java
@@ -0,0 +1,288 @@
+package graderelay.service;
+
+import graderelay.api.UserApi;
+import graderelay.cloud.CloudClient;
+import graderelay.core.MachineType;
+import graderelay.core.Order;
+import graderelay.core.Policy;
+import graderelay.core.Report;
+import graderelay.core.SliceKey;
+import graderelay.net.Exchange;
+import graderelay.net.Exchange.Answer;
+import graderelay.net.Loop;
+import graderelay.net.Transport;
+import graderelay.state.Cache;
+import graderelay.state.Ownership;
+import graderelay.state.StateClient;
+import graderelay.wire.Json;
+import graderelay.worker.WorkerApi;
+import graderelay.worker.WorkerClient;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One controller: its parts and their life. It knows no sockets, so tests run several at once. */
+public final class Node {
+  private static final Logger LOG = LoggerFactory.getLogger("node");
+  private static final String JOBS = "/v1/jobs";
+  private static final String WITHDRAW = "/withdraw";
+
+  private final Loop loop;
+  private final Settings settings;
+  private final RandomGenerator random;
+  private final StateClient state;
+  private final Cache cache;
+  private final Ownership ownership;
+  private final CloudClient cloud;
+  private final WorkerClient workers;
+  private final UserApi users;
+  private final WorkerApi reports;
+  private final Policy policy;
+  private List<MachineType> types;
+  private FleetDuty duty;
+  private Loop.Timer typesTimer;
+  private Loop.Timer tickTimer;
+  private boolean closed;
+
+  public Node(Loop loop, Transport transport, Settings s, RandomGenerator random) {
+    this.loop = loop;
+    this.settings = s;
+    this.random = random;
+    this.policy = policyOf(s);
+    this.state =
+        new StateClient(loop, transport, s.stateAddress(), s.stateRps(), s.stateChangesPerS());
+    this.cache = new Cache(loop, state, new Changes());
+    this.ownership =
+        new Ownership(
+            loop,
+            state,
+            cache,
+            s.member(),
+            s.meshAddress(),
+            s.leaseS(),
+            random::nextDouble,
+            new Office());
+    this.cloud = new CloudClient(loop, transport, s.cloudAddress(), s.cloudRps());
+    this.workers = new WorkerClient(transport);
+    this.users = new UserApi(loop, state, cache, s, () -> types, () -> policy.tuning().sliceCap());
+    this.reports = new WorkerApi(ownership, cache, this::onReport);
+  }
+
+  private static Policy policyOf(Settings s) {
+    int fits = (int) (s.valueKb() * 1024 / Constants.SLICE_BYTES_PER_TASK);
+    return new Policy(
+        s.teams(),
+        s.reportS(),
+        s.leaseS(),
+        s.cancelS(),
+        s.listLagS(),
+        s.txnOps(),
+        (int) (s.valueKb() * 1024),
+        s.waits(),
+        new Policy.Tuning(
+            Math.max(1, Math.min(Constants.SLICE_CAP, fits)),
+            Constants.SAMPLE_SIZE,
+            Constants.ATTEMPT_CAP,
+            Constants.IDLE_S,
+            Constants.SPARE_FACTOR,
+            true,
+            false,
+            "info"));
+  }
+
+  public void start() {
+    LOG.info("{} starts in zone {}", settings.member(), settings.zone());
+    cache.start();
+    readTypes();
+    tick();
+  }
+
+  /** Ends the duties in the opposite order of their start. */
+  public void close() {
+    closed = true;
+    if (duty != null) {
+      duty.close();
+    }
+    ownership.close();
+    cache.close();
+    if (typesTimer != null) {
+      typesTimer.cancel();
+    }
+    if (tickTimer != null) {
+      tickTimer.cancel();
+    }
+  }
+
+  private void tick() {
+    if (closed) {
+      return;
+    }
+    ownership.tick();
+    tickTimer = loop.after(Constants.TICK_S, this::tick);
+  }
+
+  private void readTypes() {
+    if (closed) {
+      return;
+    }
+    cloud.types(
+        list -> {
+          if (list != null && !list.isEmpty()) {
+            types = list;
+            if (duty != null) {
+              duty.onTypes(list);
+            }
+          }
+          double wait =
+              types == null
+                  ? Constants.TYPES_RETRY_S
+                  : Constants.TYPES_EVERY_S * (ownership.owner() ? 1 : 5);
+          typesTimer = loop.after(wait, this::readTypes);
+        });
+  }
+
+  /** True if this node can take requests. */
+  public boolean ready() {
+    return cache.loaded() && types != null && loop.now() - state.lastOk() < Constants.READY_S;
+  }
+
+  public boolean owner() {
+    return ownership.owner();
+  }
+
+  /** For tests and questions: the core while this node owns the fleet, else null. */
+  public graderelay.core.Scheduler core() {
+    return duty == null ? null : duty.core();
+  }
+
+  private List<Order> onReport(Report r) {
+    return duty == null ? null : duty.onReport(r);
+  }
+
+  // ---------------------------------------------------------------- requests
+
+  /** Requests of users, workers and the load balancer. */
+  public void handle(Exchange e) {
+    String path = e.path();
+    boolean get = e.method().equals("GET");
+    boolean post = e.method().equals("POST");
+    if (path.equals("/ready")) {
+      if (!get) {
+        wrongMethod(e);
+      } else if (ready()) {
+        e.to().accept(Answer.json(200, Json.write(Json.object().put("ready", true))));
+      } else {
+        UserApi.unavailable(e, "not ready");
+      }
+    } else if (path.equals("/checkin")) {
+      if (post) {
+        reports.checkin(e);
+      } else {
+        wrongMethod(e);
+      }
+    } else if (path.equals(JOBS)) {
+      if (post) {
+        users.submit(e);
+      } else {
+        wrongMethod(e);
+      }
+    } else if (path.startsWith(JOBS + "/")) {
+      job(e, path.substring(JOBS.length() + 1), get, post);
+    } else {
+      UserApi.refuse(e, 404, "no such path");
+    }
+  }
+
+  private void job(Exchange e, String rest, boolean get, boolean post) {
+    if (rest.endsWith(WITHDRAW) && rest.indexOf('/') == rest.length() - WITHDRAW.length()) {
+      if (post) {
+        users.cancel(e, rest.substring(0, rest.length() - WITHDRAW.length()));
+      } else {
+        wrongMethod(e);
+      }
+    } else if (rest.isEmpty() || rest.indexOf('/') >= 0) {
+      UserApi.refuse(e, 404, "no such path");
+    } else if (get) {
+      users.poll(e, rest);
+    } else {
+      wrongMethod(e);
+    }
+  }
+
+  private static void wrongMethod(Exchange e) {
+    UserApi.refuse(e, 405, "method not allowed");
+  }
+
+  /** Requests of the other controllers. */
+  public void handleMesh(Exchange e) {
+    UserApi.refuse(e, 404, "no such path");
+  }
+
+  // ---------------------------------------------------------------- office and records
+
+  private final class Office implements Ownership.Listener {
+    @Override
+    public void onWon(long term) {
+      cache.catchUp(
+          ok -> {
+            if (closed || !ownership.owner() || ownership.term() != term) {
+              return;
+            }
+            if (!ok || types == null) {
+              loop.after(Constants.STATE_RETRY_S, () -> onWon(term));
+              return;
+            }
+            duty =
+                new FleetDuty(loop, state, cache, ownership, cloud, workers, policy, random, types);
+            duty.start();
+          });
+    }
+
+    @Override
+    public void onLost(String why) {
+      if (duty != null) {
+        duty.close();
+        duty = null;
+      }
+    }
+  }
+
+  private final class Changes implements Cache.Listener {
+    @Override
+    public void onJob(Cache.Entry e) {
+      if (duty != null) {
+        duty.onJob(e);
+      }
+    }
+
+    @Override
+    public void onJobGone(String id) {
+      if (duty != null) {
+        duty.onJobGone(id);
+      }
+    }
+
+    @Override
+    public void onSlice(SliceKey key, Cache.SliceEntry s) {
+      if (duty != null) {
+        duty.onSlice(key, s);
+      }
+    }
+
+    @Override
+    public void onSliceGone(SliceKey key) {
+      if (duty != null) {
+        duty.onSliceGone(key);
+      }
+    }
+
+    @Override
+    public void onOwner() {
+      ownership.consider();
+    }
+
+    @Override
+    public void onSettings() {}
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/service/Settings.java
@@ -0,0 +1,168 @@
+package graderelay.service;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import graderelay.core.Team;
+import java.io.File;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What the platform's file says, checked; fields that are not known are ignored. */
+public record Settings(
+    String member,
+    String zone,
+    String apiAddress,
+    String meshAddress,
+    List<Peer> peers,
+    String cloudAddress,
+    String stateAddress,
+    List<Team> teams,
+    Map<String, Double> waits,
+    double reportS,
+    double leaseS,
+    double cancelS,
+    double stateRps,
+    double stateChangesPerS,
+    double valueKb,
+    int txnOps,
+    double cloudRps,
+    double listLagS,
+    int maxConnections) {
+
+  /** Another controller. */
+  public record Peer(String member, String address) {}
+
+  /** The file is missing something or has it wrong; the message names the field. */
+  public static final class Wrong extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    Wrong(String message) {
+      super(message);
+    }
+  }
+
+  public static Settings load(String file) throws Wrong {
+    try {
+      return parse(new TomlMapper().readTree(new File(file)));
+    } catch (IOException e) {
+      String first = String.valueOf(e.getMessage()).split("\n", 2)[0];
+      throw new Wrong("the file can't be read as TOML: " + first);
+    }
+  }
+
+  /** Checks a tree of settings. */
+  public static Settings parse(JsonNode n) throws Wrong {
+    List<Peer> peers = new ArrayList<>();
+    int i = 0;
+    for (JsonNode p : list(n, "peers", "peers")) {
+      String at = "peers[" + i++ + "].";
+      peers.add(new Peer(text(p, "member", at), address(p, "address", at)));
+    }
+    JsonNode outside = table(n, "outside");
+    JsonNode d = table(n, "deployment");
+    JsonNode workers = table(d, "workers", "deployment.");
+    JsonNode state = table(d, "state", "deployment.");
+    JsonNode cloud = table(d, "cloud", "deployment.");
+    JsonNode resources = table(d, "resources", "deployment.");
+    List<Team> teams = new ArrayList<>();
+    i = 0;
+    for (JsonNode t : list(d, "teams", "deployment.teams")) {
+      String at = "deployment.teams[" + i++ + "].";
+      teams.add(
+          new Team(
+              text(t, "name", at),
+              number(t, "cpus", at, 0, 0.0),
+              number(t, "cpus_max", at, 0, 0.0),
+              number(t, "gpus", at, 0, 0.0),
+              number(t, "gpus_max", at, 0, 0.0)));
+    }
+    if (teams.isEmpty()) {
+      throw new Wrong("deployment.teams is missing or empty");
+    }
+    Map<String, Double> waits = new HashMap<>();
+    i = 0;
+    for (JsonNode o : list(d, "objectives", "deployment.objectives")) {
+      String at = "deployment.objectives[" + i++ + "].";
+      if (o.path("kind").asText().equals("wait") && o.has("class")) {
+        waits.merge(text(o, "class", at), number(o, "within_s", at, 0, null), Math::min);
+      }
+    }
+    return new Settings(
+        text(n, "member", ""),
+        text(n, "zone", ""),
+        address(n, "api_addr", ""),
+        address(n, "mesh_addr", ""),
+        List.copyOf(peers),
+        address(outside, "cloud", "outside."),
+        address(outside, "state", "outside."),
+        List.copyOf(teams),
+        Map.copyOf(waits),
+        number(workers, "report_s", "deployment.workers.", 0.001, null),
+        number(workers, "lease_s", "deployment.workers.", 0.001, null),
+        number(workers, "cancel_s", "deployment.workers.", 0.001, null),
+        number(state, "rps", "deployment.state.", 0.001, null),
+        number(state, "write_rps", "deployment.state.", 0.001, null),
+        number(state, "value_kb", "deployment.state.", 1, null),
+        (int) number(state, "txn_ops", "deployment.state.", 2, null),
+        number(cloud, "rps", "deployment.cloud.", 0.001, null),
+        number(cloud, "list_lag_s", "deployment.cloud.", 0, null),
+        (int) number(resources, "max_connections", "deployment.resources.", 16, null));
+  }
+
+  private static JsonNode list(JsonNode n, String name, String shown) throws Wrong {
+    JsonNode v = n.path(name);
+    if (!v.isMissingNode() && !v.isArray()) {
+      throw new Wrong(shown + " must be a list");
+    }
+    return v;
+  }
+
+  private static JsonNode table(JsonNode n, String name) throws Wrong {
+    return table(n, name, "");
+  }
+
+  private static JsonNode table(JsonNode n, String name, String at) throws Wrong {
+    JsonNode v = n.path(name);
+    if (!v.isObject()) {
+      throw new Wrong(at + name + " must be a table");
+    }
+    return v;
+  }
+
+  private static String text(JsonNode n, String name, String at) throws Wrong {
+    JsonNode v = n.path(name);
+    if (!v.isTextual() || v.textValue().isEmpty()) {
+      throw new Wrong(at + name + " must be a string that is not empty");
+    }
+    return v.textValue();
+  }
+
+  private static String address(JsonNode n, String name, String at) throws Wrong {
+    String s = text(n, name, at);
+    int colon = s.lastIndexOf(':');
+    try {
+      int port = Integer.parseInt(s.substring(colon + 1));
+      if (colon > 0 && port >= 0 && port < 65536) {
+        return s;
+      }
+    } catch (NumberFormatException e) {
+      // Said below.
+    }
+    throw new Wrong(at + name + " must be an address like 10.0.0.1:8080");
+  }
+
+  private static double number(JsonNode n, String name, String at, double least, Double fallback)
+      throws Wrong {
+    JsonNode v = n.path(name);
+    if (v.isMissingNode() && fallback != null) {
+      return fallback;
+    }
+    if (!v.isNumber() || !(v.doubleValue() >= least)) {
+      throw new Wrong(at + name + " must be a number of at least " + least);
+    }
+    return v.doubleValue();
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/state/Cache.java
@@ -0,0 +1,413 @@
+package graderelay.state;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import graderelay.core.JobSpec;
+import graderelay.core.SliceKey;
+import graderelay.core.SliceRecord;
+import graderelay.net.Loop;
+import graderelay.net.TokenBucket.Use;
+import graderelay.service.Constants;
+import graderelay.wire.StateCodec;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * This node's copy of the live records, fed by a watch. It is a hint for everything but final
+ * states; who needs the truth asks for a catch-up first, which many can share.
+ */
+public final class Cache {
+  private static final Logger LOG = LoggerFactory.getLogger("cache");
+
+  /** A live job. */
+  public static final class Entry {
+    public final JobSpec spec;
+    public boolean stop;
+    public long mark;
+    public final TreeMap<Integer, SliceEntry> slices = new TreeMap<>();
+
+    Entry(JobSpec spec) {
+      this.spec = spec;
+    }
+  }
+
+  /** A stored slice. */
+  public record SliceEntry(SliceRecord record, long mark) {}
+
+  /** A final state. */
+  public record End(boolean cancelled, int tasks) {}
+
+  /** Who wants to hear of changes. */
+  public interface Listener {
+    void onJob(Entry e);
+
+    void onJobGone(String id);
+
+    void onSlice(SliceKey key, SliceEntry e);
+
+    void onSliceGone(SliceKey key);
+
+    void onOwner();
+
+    void onSettings();
+  }
+
+  private final Loop loop;
+  private final StateClient state;
+  private final Listener listener;
+  private final Map<String, Entry> jobs = new HashMap<>();
+  private final Map<SliceKey, SliceEntry> loose = new HashMap<>();
+  private final Map<String, End> ends =
+      new LinkedHashMap<>(64, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, End> eldest) {
+          return size() > Constants.FINAL_STATES;
+        }
+      };
+
+  private StateCodec.Owner owner;
+  private long ownerMark;
+  private long term;
+  private long termMark;
+  private JsonNode settings;
+  private long settingsMark;
+  private long revision;
+  private boolean loaded;
+  private boolean closed;
+  private boolean loading;
+  private int generation;
+
+  private List<Consumer<Boolean>> waiting = new ArrayList<>();
+  private boolean catching;
+  private double lastCatch = Double.NEGATIVE_INFINITY;
+  private double lastWatch = Double.NEGATIVE_INFINITY;
+
+  public Cache(Loop loop, StateClient state, Listener listener) {
+    this.loop = loop;
+    this.state = state;
+    this.listener = listener;
+  }
+
+  public boolean loaded() {
+    return loaded;
+  }
+
+  public Entry job(String id) {
+    return jobs.get(id);
+  }
+
+  public Map<String, Entry> jobs() {
+    return jobs;
+  }
+
+  /** Slices whose job's record is gone. */
+  public Map<SliceKey, SliceEntry> looseSlices() {
+    return loose;
+  }
+
+  /** A final state that this node knows already, or null. */
+  public End end(String id) {
+    return ends.get(id);
+  }
+
+  public void learnEnd(String id, End e) {
+    ends.put(id, e);
+  }
+
+  public StateCodec.Owner owner() {
+    return owner;
+  }
+
+  public long ownerMark() {
+    return ownerMark;
+  }
+
+  public long term() {
+    return term;
+  }
+
+  public long termMark() {
+    return termMark;
+  }
+
+  public JsonNode settings() {
+    return settings;
+  }
+
+  public long settingsMark() {
+    return settingsMark;
+  }
+
+  /** The revision up to which every change has been seen. */
+  public long revisionSeen() {
+    return revision;
+  }
+
+  /** Starts the duty that keeps the copy fresh. */
+  public void start() {
+    load();
+  }
+
+  public void close() {
+    closed = true;
+  }
+
+  private void load() {
+    if (closed || loading) {
+      return;
+    }
+    loading = true;
+    List<List<JsonNode>> got = new ArrayList<>();
+    String[] prefixes = {
+      StateCodec.OWNER, StateCodec.TERM, StateCodec.SETTINGS, StateCodec.JOBS, StateCodec.SLICES
+    };
+    loadNext(prefixes, 0, got);
+  }
+
+  private void loadNext(String[] prefixes, int i, List<List<JsonNode>> got) {
+    if (i == prefixes.length) {
+      loading = false;
+      take(got);
+      return;
+    }
+    state.list(
+        prefixes[i],
+        Use.CLAIM,
+        pages -> {
+          if (pages == null) {
+            loading = false;
+            loop.after(Constants.STATE_RETRY_S, this::load);
+          } else {
+            got.add(pages);
+            loadNext(prefixes, i + 1, got);
+          }
+        });
+  }
+
+  private void take(List<List<JsonNode>> lists) {
+    // Ends that were learned stay: they are final.
+    for (String id : new ArrayList<>(jobs.keySet())) {
+      removeJob(id, Long.MAX_VALUE);
+    }
+    loose.clear();
+    owner = null;
+    ownerMark = 0;
+    revision = lists.get(0).get(0).path("ledger").asLong();
+    for (List<JsonNode> pages : lists) {
+      for (JsonNode page : pages) {
+        for (JsonNode item : page.path("items")) {
+          put(item.path("key").asText(), item.path("data"), item.path("mark").asLong());
+        }
+      }
+    }
+    // What changed while the pages were read comes with the first catch-up.
+    catchUp(
+        ok -> {
+          if (ok) {
+            boolean first = !loaded;
+            loaded = true;
+            if (first) {
+              LOG.info("loaded {} jobs at revision {}", jobs.size(), revision);
+            }
+            listener.onOwner();
+            listener.onSettings();
+            watch(++generation);
+          } else {
+            loop.after(Constants.STATE_RETRY_S, this::load);
+          }
+        });
+  }
+
+  /** The long-lived read; one of an earlier load ends by itself. */
+  private void watch(int gen) {
+    if (closed || gen != generation) {
+      return;
+    }
+    double wait = lastWatch + Constants.WATCH_EVERY_S - loop.now();
+    if (wait > 0) {
+      loop.after(wait, () -> watch(gen));
+      return;
+    }
+    lastWatch = loop.now();
+    state.watch(
+        StateCodec.ROOT,
+        revision,
+        Constants.WATCH_BLOCK_MS,
+        Use.CLAIM,
+        r -> {
+          if (r.done()) {
+            apply(r.body());
+            watch(gen);
+          } else if (r.how() == StateClient.How.ABSENT) {
+            loaded = false;
+            load();
+          } else {
+            loop.after(Constants.STATE_RETRY_S, () -> watch(gen));
+          }
+        });
+  }
+
+  /** Calls back with true once everything that had committed before this call has been seen. */
+  public void catchUp(Consumer<Boolean> done) {
+    waiting.add(done);
+    catchSoon();
+  }
+
+  private void catchSoon() {
+    if (catching || waiting.isEmpty()) {
+      return;
+    }
+    catching = true;
+    double wait = lastCatch + Constants.CATCH_UP_EVERY_S - loop.now();
+    if (wait > 0) {
+      loop.after(wait, this::catchNow);
+    } else {
+      catchNow();
+    }
+  }
+
+  private void catchNow() {
+    List<Consumer<Boolean>> served = waiting;
+    waiting = new ArrayList<>();
+    lastCatch = loop.now();
+    state.watch(
+        StateCodec.ROOT,
+        revision,
+        0,
+        Use.SUBMISSION,
+        r -> {
+          catching = false;
+          if (r.done()) {
+            apply(r.body());
+          } else if (r.how() == StateClient.How.ABSENT) {
+            loaded = false;
+            load();
+          }
+          for (Consumer<Boolean> c : served) {
+            c.accept(r.done());
+          }
+          catchSoon();
+        });
+  }
+
+  private void apply(JsonNode body) {
+    long upTo = body.path("ledger").asLong();
+    for (JsonNode e : body.path("news")) {
+      long mark = e.path("mark").asLong();
+      if (mark <= revision) {
+        continue; // Seen already, through the other read.
+      }
+      if (e.has("put")) {
+        put(e.get("put").asText(), e.path("data"), mark);
+      } else if (e.has("drop")) {
+        drop(e.get("drop").asText(), mark);
+      }
+    }
+    revision = Math.max(revision, upTo);
+  }
+
+  private void put(String key, JsonNode value, long mark) {
+    if (key.startsWith(StateCodec.JOBS)) {
+      putJob(key.substring(StateCodec.JOBS.length()), value, mark);
+    } else if (key.startsWith(StateCodec.SLICES)) {
+      putSlice(StateCodec.sliceOf(key), new SliceEntry(StateCodec.slice(value), mark));
+    } else if (key.startsWith(StateCodec.ENDS)) {
+      String id = key.substring(StateCodec.ENDS.length());
+      ends.put(id, endOf(value));
+    } else if (key.equals(StateCodec.OWNER) && mark > ownerMark) {
+      owner = StateCodec.owner(value);
+      ownerMark = mark;
+      told(listener::onOwner);
+    } else if (key.equals(StateCodec.TERM) && mark > termMark) {
+      term = value.path("term").asLong();
+      termMark = mark;
+    } else if (key.equals(StateCodec.SETTINGS) && mark > settingsMark) {
+      settings = value;
+      settingsMark = mark;
+      told(listener::onSettings);
+    }
+  }
+
+  private void told(Runnable r) {
+    if (loaded) {
+      r.run();
+    }
+  }
+
+  public static End endOf(JsonNode value) {
+    return new End(value.path("end").asText().equals("cancelled"), value.path("tasks").asInt());
+  }
+
+  private void putJob(String id, JsonNode value, long mark) {
+    Entry e = jobs.get(id);
+    if (e != null && mark <= e.mark) {
+      return;
+    }
+    if (e == null) {
+      e = new Entry(StateCodec.job(id, value));
+      jobs.put(id, e);
+      for (SliceKey k : new ArrayList<>(loose.keySet())) {
+        if (k.job().equals(id)) {
+          e.slices.put(k.index(), loose.remove(k));
+        }
+      }
+    }
+    e.mark = mark;
+    e.stop = StateCodec.stopOf(value);
+    listener.onJob(e);
+  }
+
+  private void putSlice(SliceKey key, SliceEntry s) {
+    Entry e = jobs.get(key.job());
+    SliceEntry old = e == null ? loose.get(key) : e.slices.get(key.index());
+    if (old != null && s.mark() <= old.mark()) {
+      return;
+    }
+    if (e == null) {
+      loose.put(key, s);
+    } else {
+      e.slices.put(key.index(), s);
+    }
+    listener.onSlice(key, s);
+  }
+
+  private void drop(String key, long mark) {
+    if (key.startsWith(StateCodec.JOBS)) {
+      removeJob(key.substring(StateCodec.JOBS.length()), mark);
+    } else if (key.startsWith(StateCodec.SLICES)) {
+      SliceKey k = StateCodec.sliceOf(key);
+      Entry e = jobs.get(k.job());
+      SliceEntry s = e == null ? loose.get(k) : e.slices.get(k.index());
+      if (s != null && s.mark() < mark) {
+        if (e == null) {
+          loose.remove(k);
+        } else {
+          e.slices.remove(k.index());
+        }
+        listener.onSliceGone(k);
+      }
+    } else if (key.equals(StateCodec.OWNER) && mark > ownerMark) {
+      owner = null;
+      ownerMark = 0;
+      told(listener::onOwner);
+    }
+  }
+
+  private void removeJob(String id, long mark) {
+    Entry e = jobs.get(id);
+    if (e == null || e.mark >= mark) {
+      return;
+    }
+    jobs.remove(id);
+    e.slices.forEach((i, s) -> loose.put(new SliceKey(id, i), s));
+    listener.onJobGone(id);
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/state/Ownership.java
@@ -0,0 +1,341 @@
+package graderelay.state;
+
+import graderelay.net.Loop;
+import graderelay.net.TokenBucket.Use;
+import graderelay.service.Constants;
+import graderelay.wire.StateCodec;
+import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Wins, keeps and loses the fleet. The owner record hangs on a hold of ours; the term is a counter
+ * that stays. We count the hold from the moment its renewal was sent, so that we stop before the
+ * state service lets anybody else in.
+ */
+public final class Ownership {
+  private static final Logger LOG = LoggerFactory.getLogger("owner");
+
+  /** Hears of changes. */
+  public interface Listener {
+    void onWon(long term);
+
+    void onLost(String why);
+  }
+
+  private final Loop loop;
+  private final StateClient state;
+  private final Cache cache;
+  private final Listener listener;
+  private final String member;
+  private final String address;
+  private final DoubleSupplier random;
+  private final double holdS;
+
+  private boolean owner;
+  private long term;
+  private long ownerMark;
+  private long hold;
+  private double heldUntil;
+  private boolean trying;
+  private boolean closed;
+  private Loop.Timer renewal;
+  private boolean raising;
+  private double notBefore = Double.NEGATIVE_INFINITY;
+
+  public Ownership(
+      Loop loop,
+      StateClient state,
+      Cache cache,
+      String member,
+      String address,
+      double leaseS,
+      DoubleSupplier random,
+      Listener listener) {
+    this.loop = loop;
+    this.state = state;
+    this.cache = cache;
+    this.listener = listener;
+    this.member = member;
+    this.address = address;
+    this.random = random;
+    this.holdS = leaseS * Constants.HOLD_OF_LEASE;
+  }
+
+  public boolean owner() {
+    return owner;
+  }
+
+  /** True if we may still speak for the controllers. */
+  public boolean entitled() {
+    return owner && loop.now() < heldUntil;
+  }
+
+  public long term() {
+    return term;
+  }
+
+  public long ownerMark() {
+    return ownerMark;
+  }
+
+  public void close() {
+    closed = true;
+    if (renewal != null) {
+      renewal.cancel();
+    }
+  }
+
+  /** Called whenever the owner record changed, and once at the start. */
+  public void consider() {
+    if (closed || !cache.loaded()) {
+      return;
+    }
+    StateCodec.Owner o = cache.owner();
+    if (owner) {
+      if (o == null && cache.revisionSeen() > ownerMark) {
+        lose("the owner record is gone");
+      } else if (o != null && cache.ownerMark() > ownerMark && !raising) {
+        lose(o.member() + " owns the fleet with term " + o.term());
+      }
+      return;
+    }
+    if (trying) {
+      return;
+    }
+    if (o == null) {
+      later(random.getAsDouble() * Constants.TAKEOVER_RETRY_S / 3, this::take);
+    } else if (o.member().equals(member)) {
+      // Our own earlier process, which is dead: nobody else runs under our name.
+      trying = true;
+      state.get(
+          StateCodec.OWNER,
+          Use.RENEWAL,
+          r -> {
+            trying = false;
+            long old = r.done() ? r.body().path("permit").asLong() : 0;
+            boolean mine =
+                r.done() && StateCodec.owner(r.body().path("data")).member().equals(member);
+            if (mine && !owner && old > 0) {
+              LOG.info("ending the hold of this member's earlier process");
+              state.endHold(old, x -> again());
+            } else {
+              again();
+            }
+          });
+    }
+  }
+
+  private void later(double s, Runnable r) {
+    trying = true;
+    loop.after(
+        s,
+        () -> {
+          trying = false;
+          if (!closed && !owner) {
+            r.run();
+          }
+        });
+  }
+
+  private void again() {
+    later(
+        Constants.TAKEOVER_RETRY_S * (1 + random.getAsDouble()),
+        () -> cache.catchUp(ok -> consider()));
+  }
+
+  /** Keeps this node from taking over for a while, after it gave the fleet up. */
+  public void standBack(double seconds) {
+    notBefore = loop.now() + seconds;
+  }
+
+  private void take() {
+    if (cache.owner() != null || loop.now() < notBefore) {
+      if (cache.owner() == null) {
+        again();
+      }
+      return;
+    }
+    trying = true;
+    double sentAt = loop.now();
+    state.createHold(
+        (long) (holdS * 1000),
+        h -> {
+          if (!h.done()) {
+            trying = false;
+            again();
+            return;
+          }
+          takeWith(h.body().path("permit").asLong(), sentAt);
+        });
+  }
+
+  private void takeWith(long newHold, double sentAt) {
+    long newTerm = cache.term() + 1;
+    StateCodec.Owner me = new StateCodec.Owner(member, newTerm, address);
+    StateClient.Txn txn =
+        new StateClient.Txn()
+            .when(StateCodec.OWNER, 0)
+            .when(StateCodec.TERM, cache.termMark())
+            .put(StateCodec.TERM, StateCodec.term(newTerm))
+            .put(StateCodec.OWNER, StateCodec.owner(me), newHold);
+    state.commit(
+        txn,
+        Use.RENEWAL,
+        r -> {
+          switch (r.how()) {
+            case DONE -> won(newTerm, r.revision(), newHold, sentAt);
+            case UNKNOWN -> resolve(newTerm, newHold, sentAt);
+            default -> {
+              trying = false;
+              state.endHold(newHold, x -> {});
+              again();
+            }
+          }
+        });
+  }
+
+  /** The answer was lost: the record tells, as long as the hold lives. */
+  private void resolve(long newTerm, long newHold, double sentAt) {
+    if (loop.now() > sentAt + holdS) {
+      trying = false;
+      again();
+      return;
+    }
+    state.get(
+        StateCodec.OWNER,
+        Use.RENEWAL,
+        r -> {
+          if (r.done()) {
+            StateCodec.Owner o = StateCodec.owner(r.body().path("data"));
+            if (o.member().equals(member)
+                && o.term() == newTerm
+                && r.body().path("permit").asLong() == newHold) {
+              won(newTerm, r.body().path("mark").asLong(), newHold, sentAt);
+              return;
+            }
+          }
+          if (r.done() || r.how() == StateClient.How.ABSENT) {
+            trying = false;
+            // A late copy of the transaction must fail: its hold ends here.
+            state.endHold(newHold, x -> {});
+            again();
+          } else {
+            loop.after(Constants.TAKEOVER_RETRY_S, () -> resolve(newTerm, newHold, sentAt));
+          }
+        });
+  }
+
+  private void won(long newTerm, long mark, long newHold, double sentAt) {
+    trying = false;
+    owner = true;
+    term = newTerm;
+    ownerMark = mark;
+    hold = newHold;
+    counted(sentAt);
+    LOG.info("{} owns the fleet with term {}", member, term);
+    renewLater();
+    listener.onWon(term);
+  }
+
+  private void counted(double sentAt) {
+    heldUntil =
+        Math.max(heldUntil, sentAt + holdS * (1 - Constants.DRIFT) - Constants.HOLD_MARGIN_S);
+  }
+
+  private void renewLater() {
+    renewal = loop.after(holdS * Constants.RENEW_OF_HOLD, this::renew);
+  }
+
+  private void renew() {
+    if (!owner || closed) {
+      return;
+    }
+    double sentAt = loop.now();
+    long of = hold;
+    state.extendHold(
+        of,
+        holdS * Constants.RENEW_OF_HOLD * 2,
+        r -> {
+          if (!owner || hold != of) {
+            return;
+          }
+          if (r.done()) {
+            counted(sentAt);
+          } else if (r.how() == StateClient.How.ABSENT) {
+            lose("the hold is over");
+            return;
+          }
+          renewLater();
+        });
+  }
+
+  /**
+   * Raises our own term, so that workers refuse what was sent under the old one. Calls back with
+   * the new term, or with 0 if it could not be raised.
+   */
+  public void raise(Consumer<Long> done) {
+    if (!entitled() || raising) {
+      done.accept(0L);
+      return;
+    }
+    raising = true;
+    long newTerm = term + 1;
+    StateCodec.Owner me = new StateCodec.Owner(member, newTerm, address);
+    StateClient.Txn txn =
+        new StateClient.Txn()
+            .when(StateCodec.OWNER, ownerMark)
+            .when(StateCodec.TERM, cache.termMark())
+            .put(StateCodec.TERM, StateCodec.term(newTerm))
+            .put(StateCodec.OWNER, StateCodec.owner(me), hold);
+    state.commit(txn, Use.RENEWAL, r -> raised(newTerm, r, done));
+  }
+
+  private void raised(long newTerm, StateClient.Result r, Consumer<Long> done) {
+    if (r.done()) {
+      raising = false;
+      term = newTerm;
+      ownerMark = r.revision();
+      LOG.info("raised the term to {}", term);
+      done.accept(term);
+    } else if (r.how() == StateClient.How.UNKNOWN) {
+      // Whether it committed decides under which mark we may write: rather start over.
+      raising = false;
+      done.accept(0L);
+      resign("a raise of the term had no answer");
+    } else {
+      raising = false;
+      done.accept(0L);
+      cache.catchUp(ok -> consider());
+    }
+  }
+
+  /** Gives the fleet up at once and lets the record go. */
+  public void resign(String why) {
+    if (!owner) {
+      return;
+    }
+    long old = hold;
+    lose(why);
+    state.endHold(old, x -> {});
+  }
+
+  private void lose(String why) {
+    owner = false;
+    heldUntil = Double.NEGATIVE_INFINITY;
+    if (renewal != null) {
+      renewal.cancel();
+    }
+    LOG.info("{} no longer owns the fleet: {}", member, why);
+    listener.onLost(why);
+    again();
+  }
+
+  /** Looks at our own entitlement; to be called now and then. */
+  public void tick() {
+    if (owner && loop.now() >= heldUntil) {
+      lose("the hold could not be renewed in time");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/state/StateClient.java
@@ -0,0 +1,246 @@
+package graderelay.state;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import graderelay.net.Loop;
+import graderelay.net.Reply;
+import graderelay.net.TokenBucket;
+import graderelay.net.TokenBucket.Use;
+import graderelay.net.Transport;
+import graderelay.service.Constants;
+import graderelay.wire.Json;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** Speaks the state service's protocol, within this node's share of its rates. */
+public final class StateClient {
+  /** How a call ended. */
+  public enum How {
+    DONE,
+    /** The key, hold or revision asked for is not there. */
+    ABSENT,
+    /** A condition failed: nothing was changed. */
+    CONFLICT,
+    /** The hold of a put is over: nothing was changed. */
+    NO_HOLD,
+    /** Not executed, and it won't be. */
+    NOT_EXECUTED,
+    /** Executed, or not, or still to be. */
+    UNKNOWN
+  }
+
+  /** An answer; {@code body} is null unless the service gave one. */
+  public record Result(How how, JsonNode body) {
+    public boolean done() {
+      return how == How.DONE;
+    }
+
+    public long revision() {
+      return body == null ? 0 : body.path("ledger").asLong();
+    }
+  }
+
+  /** A transaction in the making. */
+  public static final class Txn {
+    private final ArrayNode conditions = Json.array();
+    private final ArrayNode changes = Json.array();
+
+    public Txn when(String key, long mark) {
+      conditions.addObject().put("key", key).put("mark", mark);
+      return this;
+    }
+
+    public Txn put(String key, JsonNode value) {
+      changes.addObject().put("put", key).set("data", value);
+      return this;
+    }
+
+    public Txn put(String key, JsonNode value, long hold) {
+      ObjectNode c = changes.addObject().put("put", key);
+      c.set("data", value);
+      c.put("permit", hold);
+      return this;
+    }
+
+    public Txn drop(String key) {
+      changes.addObject().put("drop", key);
+      return this;
+    }
+  }
+
+  private final Loop loop;
+  private final Transport transport;
+  private final String address;
+  private final TokenBucket requests;
+  private final TokenBucket changes;
+  private double lastOk = Double.NEGATIVE_INFINITY;
+  private double firstFailure = Double.NaN;
+  private final Map<String, Long> outcomes = new HashMap<>();
+
+  public StateClient(
+      Loop loop, Transport transport, String address, double rps, double changesPerS) {
+    this.loop = loop;
+    this.transport = transport;
+    this.address = address;
+    double r = rps * Constants.REQUEST_SHARE;
+    double c = changesPerS * Constants.CHANGE_SHARE;
+    this.requests = new TokenBucket(loop, r, r);
+    this.changes = new TokenBucket(loop, c, c);
+  }
+
+  /** When the service last answered this node properly. */
+  public double lastOk() {
+    return lastOk;
+  }
+
+  /** Seconds for which every call has failed, 0 if the last one did not. */
+  public double failingFor() {
+    return Double.isNaN(firstFailure) ? 0 : loop.now() - firstFailure;
+  }
+
+  public TokenBucket requestTokens() {
+    return requests;
+  }
+
+  public TokenBucket changeTokens() {
+    return changes;
+  }
+
+  /** Calls by outcome, for the metrics. */
+  public Map<String, Long> outcomes() {
+    return outcomes;
+  }
+
+  public void get(String key, Use use, Consumer<Result> done) {
+    call(use, "GET", "/store/" + key, null, Constants.STATE_TIMEOUT_S, done);
+  }
+
+  /** Reads all keys under a prefix, page by page. The first page's revision is the list's. */
+  public void list(String prefix, Use use, Consumer<List<JsonNode>> done) {
+    page(prefix, null, use, new ArrayList<>(), done);
+  }
+
+  private void page(
+      String prefix, String after, Use use, List<JsonNode> pages, Consumer<List<JsonNode>> done) {
+    String path =
+        "/store?under="
+            + enc(prefix)
+            + (after == null ? "" : "&after=" + enc(after))
+            + "&most="
+            + Constants.PAGE_ITEMS;
+    call(
+        use,
+        "GET",
+        path,
+        null,
+        Constants.STATE_TIMEOUT_S,
+        r -> {
+          if (!r.done()) {
+            done.accept(null);
+            return;
+          }
+          pages.add(r.body());
+          JsonNode items = r.body().path("items");
+          if (r.body().path("truncated").asBoolean(false) && items.size() > 0) {
+            String last = items.get(items.size() - 1).path("key").asText();
+            page(prefix, last, use, pages, done);
+          } else {
+            done.accept(pages);
+          }
+        });
+  }
+
+  public void commit(Txn txn, Use use, Consumer<Result> done) {
+    ObjectNode body = Json.object();
+    body.set("if", txn.conditions);
+    if (!txn.changes.isEmpty()) {
+      body.set("then", txn.changes);
+    }
+    changes.take(
+        use,
+        txn.changes.size(),
+        ok -> {
+          if (!ok) {
+            done.accept(new Result(How.NOT_EXECUTED, null));
+          } else {
+            call(use, "POST", "/multi", body, Constants.STATE_TIMEOUT_S, done);
+          }
+        });
+  }
+
+  public void createHold(long lifeMs, Consumer<Result> done) {
+    ObjectNode body = Json.object().put("life_ms", lifeMs);
+    call(Use.RENEWAL, "POST", "/holds", body, Constants.STATE_TIMEOUT_S, done);
+  }
+
+  public void extendHold(long hold, double timeoutS, Consumer<Result> done) {
+    call(Use.RENEWAL, "POST", "/holds/" + hold + "/extend", Json.object(), timeoutS, done);
+  }
+
+  public void endHold(long hold, Consumer<Result> done) {
+    call(Use.RENEWAL, "DELETE", "/holds/" + hold, null, Constants.STATE_TIMEOUT_S, done);
+  }
+
+  /** Changes under a prefix after a revision; with {@code blockMs} 0 it only catches up. */
+  public void watch(String prefix, long after, int blockMs, Use use, Consumer<Result> done) {
+    String path = "/watch?under=" + enc(prefix) + "&after=" + after + "&block_ms=" + blockMs;
+    call(use, "GET", path, null, Constants.STATE_TIMEOUT_S + blockMs / 1000.0, done);
+  }
+
+  private static String enc(String s) {
+    return URLEncoder.encode(s, StandardCharsets.UTF_8).replace("%2F", "/");
+  }
+
+  private void call(
+      Use use, String method, String path, JsonNode body, double timeoutS, Consumer<Result> done) {
+    requests.take(
+        use,
+        1,
+        ok -> {
+          if (!ok) {
+            done.accept(new Result(How.NOT_EXECUTED, null));
+            return;
+          }
+          byte[] bytes = body == null ? null : Json.write(body);
+          transport.call(
+              address, method, path, bytes, timeoutS, r -> done.accept(result(method, path, r)));
+        });
+  }
+
+  private Result result(String method, String path, Reply r) {
+    JsonNode body = r.status() == 0 ? null : Json.read(r.body());
+    How how =
+        switch (r.status()) {
+          case 200 -> body == null && !method.equals("DELETE") ? How.UNKNOWN : How.DONE;
+          case 404, 410 -> How.ABSENT;
+          case 409 -> How.CONFLICT;
+          case 400 ->
+              body != null && body.path("error").asText().contains("lease")
+                  ? How.NO_HOLD
+                  : How.NOT_EXECUTED;
+          case 429, 503 -> How.NOT_EXECUTED;
+          case 0 -> r.sent() ? How.UNKNOWN : How.NOT_EXECUTED;
+          default -> How.UNKNOWN;
+        };
+    if (r.status() == 429) {
+      requests.penalty();
+      changes.penalty();
+    }
+    boolean answered = r.status() != 0 && r.status() != 503;
+    if (answered) {
+      lastOk = loop.now();
+      firstFailure = Double.NaN;
+    } else if (Double.isNaN(firstFailure)) {
+      firstFailure = loop.now();
+    }
+    String what = path.startsWith("/store") ? "read" : path.split("[/?]", 3)[1];
+    outcomes.merge(what + " " + (r.status() == 0 ? "none" : r.status()), 1L, Long::sum);
+    return new Result(how, body);
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/wire/Json.java
@@ -0,0 +1,69 @@
+package graderelay.wire;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
+import java.io.IOException;
+
+/**
+ * JSON with the outside, CBOR between controllers. Trees and not bound classes: binding costs
+ * start-up time that a third of a core feels at each restart.
+ */
+public final class Json {
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final ObjectMapper CBOR = new CBORMapper();
+
+  private Json() {}
+
+  public static ObjectNode object() {
+    return JsonNodeFactory.instance.objectNode();
+  }
+
+  public static ArrayNode array() {
+    return JsonNodeFactory.instance.arrayNode();
+  }
+
+  /** The tree, or null if these bytes are not one JSON value. */
+  public static JsonNode read(byte[] bytes) {
+    try (var parser = JSON.getFactory().createParser(bytes)) {
+      JsonNode n = JSON.readTree(parser);
+      return n == null || n.isMissingNode() || parser.nextToken() != null ? null : n;
+    } catch (IOException e) {
+      return null;
+    }
+  }
+
+  public static byte[] write(JsonNode n) {
+    try {
+      return JSON.writeValueAsBytes(n);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** The tree, or null if these bytes are not CBOR. */
+  public static JsonNode readCbor(byte[] bytes) {
+    try {
+      JsonNode n = CBOR.readTree(bytes);
+      return n == null || n.isMissingNode() ? null : n;
+    } catch (IOException e) {
+      return null;
+    }
+  }
+
+  public static byte[] writeCbor(JsonNode n) {
+    try {
+      return CBOR.writeValueAsBytes(n);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  public static byte[] error(String text) {
+    return write(object().put("error", text));
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/wire/StateCodec.java
@@ -0,0 +1,196 @@
+package graderelay.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import graderelay.core.JobSpec;
+import graderelay.core.Kind;
+import graderelay.core.Priority;
+import graderelay.core.SliceKey;
+import graderelay.core.SliceRecord;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The records that controllers keep in the state service, and their keys. */
+public final class StateCodec {
+  /** Everything that one watch should follow. */
+  public static final String ROOT = "g/";
+
+  public static final String OWNER = "g/owner";
+  public static final String TERM = "g/term";
+  public static final String SETTINGS = "g/settings";
+  public static final String JOBS = "g/job/";
+  public static final String SLICES = "g/slice/";
+
+  /** Final states; kept for good and never listed. */
+  public static final String ENDS = "g/end/";
+
+  private StateCodec() {}
+
+  public static String jobKey(String id) {
+    return JOBS + id;
+  }
+
+  public static String endKey(String id) {
+    return ENDS + id;
+  }
+
+  public static String sliceKey(SliceKey k) {
+    return SLICES + k.job() + "/" + k.index();
+  }
+
+  public static SliceKey sliceOf(String key) {
+    int slash = key.lastIndexOf('/');
+    return new SliceKey(
+        key.substring(SLICES.length(), slash), Integer.parseInt(key.substring(slash + 1)));
+  }
+
+  /** Who owns the fleet. */
+  public record Owner(String member, long term, String address) {}
+
+  public static ObjectNode owner(Owner o) {
+    return Json.object().put("member", o.member()).put("term", o.term()).put("mesh", o.address());
+  }
+
+  public static Owner owner(JsonNode n) {
+    return new Owner(n.path("member").asText(), n.path("term").asLong(), n.path("mesh").asText());
+  }
+
+  public static ObjectNode term(long term) {
+    return Json.object().put("term", term);
+  }
+
+  /** A job's record: its terms, and whether its user asked to stop it. */
+  public static ObjectNode job(JobSpec s, boolean stop) {
+    ObjectNode n = Json.object();
+    n.put("class", s.jobClass()).put("team", s.team()).put("kind", s.kind().name());
+    n.put("priority", s.priority().name()).put("tasks", s.tasks());
+    n.put("cpus", s.cpus()).put("gpus", s.gpus()).put("mem", s.memGb());
+    n.put("image", s.image()).put("imageGb", s.imageGb());
+    if (s.types() != null) {
+      ArrayNode types = n.putArray("types");
+      s.types().forEach(types::add);
+    }
+    if (s.zone() != null) {
+      n.put("zone", s.zone());
+    }
+    n.put("oneZone", s.oneZone()).put("spread", s.spread()).put("spot", s.spot());
+    n.put("estimate", s.estimateS()).put("checkpoint", s.checkpointS()).put("save", s.saveS());
+    if (s.deadlineS() != null) {
+      n.put("deadline", s.deadlineS());
+    }
+    n.put("at", s.submittedMs()).put("cap", s.sliceCap());
+    if (stop) {
+      n.put("stop", true);
+    }
+    return n;
+  }
+
+  public static boolean stopOf(JsonNode n) {
+    return n.path("stop").asBoolean(false);
+  }
+
+  public static JobSpec job(String id, JsonNode n) {
+    List<String> types = null;
+    if (n.has("types")) {
+      types = new ArrayList<>();
+      for (JsonNode t : n.get("types")) {
+        types.add(t.asText());
+      }
+    }
+    return new JobSpec(
+        id,
+        n.path("class").asText().intern(),
+        n.path("team").asText().intern(),
+        Kind.valueOf(n.path("kind").asText()),
+        Priority.valueOf(n.path("priority").asText()),
+        n.path("tasks").asInt(),
+        n.path("cpus").asDouble(),
+        n.path("gpus").asDouble(),
+        n.path("mem").asDouble(),
+        n.path("image").asText().intern(),
+        n.path("imageGb").asDouble(),
+        types,
+        n.has("zone") ? n.get("zone").asText() : null,
+        n.path("oneZone").asBoolean(),
+        n.path("spread").asBoolean(),
+        n.path("spot").asBoolean(),
+        n.path("estimate").asDouble(),
+        n.path("checkpoint").asDouble(),
+        n.path("save").asDouble(),
+        n.has("deadline") ? n.get("deadline").asDouble() : null,
+        n.path("at").asLong(),
+        Math.max(1, n.path("cap").asInt(1)));
+  }
+
+  /** The final state of a job. */
+  public static ObjectNode end(boolean cancelled, int tasks) {
+    return Json.object().put("end", cancelled ? "cancelled" : "done").put("tasks", tasks);
+  }
+
+  private static final int QUEUED = -1;
+  private static final int DONE = -2;
+
+  /**
+   * A slice: attempts, the machines with their sessions, and for each task the place in that list.
+   * A slice that is all done shrinks to its size.
+   */
+  public static ObjectNode slice(SliceRecord r) {
+    ObjectNode n = Json.object();
+    if (r.doneCount() == r.size()) {
+      return n.put("done", r.size());
+    }
+    ArrayNode attempts = n.putArray("a");
+    ArrayNode machines = n.putArray("m");
+    ArrayNode places = n.putArray("p");
+    Map<String, Integer> index = new HashMap<>();
+    for (int i = 0; i < r.size(); i++) {
+      attempts.add(r.attempt(i));
+      String m = r.machine(i);
+      if (r.done(i)) {
+        places.add(DONE);
+      } else if (m == null) {
+        places.add(QUEUED);
+      } else {
+        long session = r.session(i);
+        places.add(
+            index.computeIfAbsent(
+                m + "#" + session,
+                k -> {
+                  machines.addArray().add(m).add(session);
+                  return machines.size() - 1;
+                }));
+      }
+    }
+    return n;
+  }
+
+  public static SliceRecord slice(JsonNode n) {
+    if (n.has("done")) {
+      int size = n.get("done").asInt();
+      boolean[] done = new boolean[size];
+      java.util.Arrays.fill(done, true);
+      return new SliceRecord(new int[size], new String[size], new long[size], done);
+    }
+    JsonNode attempts = n.path("a");
+    JsonNode machines = n.path("m");
+    JsonNode places = n.path("p");
+    int size = attempts.size();
+    int[] a = new int[size];
+    String[] m = new String[size];
+    long[] s = new long[size];
+    boolean[] d = new boolean[size];
+    for (int i = 0; i < size; i++) {
+      a[i] = attempts.get(i).asInt();
+      int p = places.path(i).asInt(QUEUED);
+      d[i] = p == DONE;
+      if (p >= 0) {
+        m[i] = machines.path(p).path(0).asText().intern();
+        s[i] = machines.path(p).path(1).asLong();
+      }
+    }
+    return new SliceRecord(a, m, s, d);
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/wire/UserCodec.java
@@ -0,0 +1,99 @@
+package graderelay.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import graderelay.core.JobSpec;
+import graderelay.core.Kind;
+import graderelay.core.Priority;
+import graderelay.service.Constants;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Pattern;
+
+/** What passes between users and controllers. */
+public final class UserCodec {
+  private static final Pattern ID = Pattern.compile("j-[0-9]{1,20}");
+
+  private UserCodec() {}
+
+  public static boolean isId(String s) {
+    return ID.matcher(s).matches();
+  }
+
+  /** Reads a submission, checking every field by the protocol's table. */
+  public static JobSpec submission(JsonNode body, long nowMs, int sliceCap) throws BadRequest {
+    Fields f = new Fields(body);
+    String id = f.text("ref");
+    if (!isId(id)) {
+      throw new BadRequest("ref must look like j-000412");
+    }
+    String cut = f.text("cut");
+    Kind kind =
+        switch (cut) {
+          case "array" -> Kind.ARRAY;
+          case "standing" -> Kind.SERVICE;
+          default -> throw new BadRequest("cut must be array or standing");
+        };
+    return new JobSpec(
+        id,
+        f.text("lot"),
+        f.text("crew"),
+        kind,
+        priority(f.text("urgency")),
+        f.count("boards", 1, Constants.MOST_TASKS),
+        f.amount("cpus", false),
+        f.amount("cards", true),
+        f.amount("mem_gb", true),
+        f.text("blade"),
+        f.amount("pull_gb", true),
+        types(f.raw("rigs")),
+        f.textOrNull("yard"),
+        f.flag("one_zone"),
+        f.flag("apart"),
+        f.flag("borrowed"),
+        f.amount("expected_s", true),
+        f.amount("stack_s", true),
+        f.amount("stack_write_s", true),
+        f.amountOrNull("ship_s"),
+        nowMs,
+        sliceCap);
+  }
+
+  private static Priority priority(String s) throws BadRequest {
+    return switch (s) {
+      case "prod" -> Priority.PROD;
+      case "urgent" -> Priority.URGENT;
+      case "normal" -> Priority.NORMAL;
+      case "low" -> Priority.LOW;
+      default -> throw new BadRequest("urgency must be prod, urgent, normal or low");
+    };
+  }
+
+  private static List<String> types(JsonNode n) throws BadRequest {
+    if (n == null) {
+      return null;
+    }
+    if (!n.isArray()) {
+      throw new BadRequest("rigs must be null or a list of machine types");
+    }
+    if (n.size() > Constants.MOST_TYPES) {
+      throw new BadRequest("rigs has more than " + Constants.MOST_TYPES + " entries");
+    }
+    List<String> types = new ArrayList<>();
+    for (JsonNode t : n) {
+      if (!t.isTextual() || t.textValue().length() > Constants.MOST_NAME) {
+        throw new BadRequest("rigs must hold strings of at most " + Constants.MOST_NAME);
+      }
+      types.add(t.textValue());
+    }
+    return List.copyOf(types);
+  }
+
+  public static ObjectNode stage(String id, String stage) {
+    return Json.object().put("ref", id).put("stage", stage);
+  }
+
+  public static ObjectNode status(String id, String stage, int done, int running) {
+    return stage(id, stage).put("done", done).put("running", running);
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/wire/WorkerCodec.java
@@ -0,0 +1,85 @@
+package graderelay.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import graderelay.core.Order;
+import graderelay.core.Report;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What passes between workers and controllers. */
+public final class WorkerCodec {
+  private WorkerCodec() {}
+
+  /** Reads a report; null if it is none. */
+  public static Report report(JsonNode n) {
+    if (n == null || !n.path("saw").isTextual() || !n.path("shift").isIntegralNumber()) {
+      return null;
+    }
+    List<Report.Entry> tasks = new ArrayList<>();
+    for (JsonNode t : n.path("boards")) {
+      Report.Stage stage =
+          switch (t.path("stage").asText()) {
+            case "running" -> Report.Stage.RUNNING;
+            case "saving" -> Report.Stage.SAVING;
+            case "exited" -> Report.Stage.EXITED;
+            default -> Report.Stage.FETCHING;
+          };
+      tasks.add(
+          new Report.Entry(
+              t.path("board").asText(),
+              t.path("pass").asInt(),
+              stage,
+              t.path("cause").asText(""),
+              t.path("saved").asBoolean(false)));
+    }
+    JsonNode notice = n.path("recall_s");
+    return new Report(
+        n.path("saw").asText(),
+        n.path("address").asText(),
+        n.path("rig").asText(),
+        n.path("yard").asText(),
+        n.path("borrowed").asBoolean(),
+        n.path("shift").asLong(),
+        n.path("tally").asLong(),
+        n.path("foreman").asLong(),
+        notice.isNumber() ? notice.asDouble() : null,
+        tasks);
+  }
+
+  private static ArrayNode orders(List<Order> orders, int most) {
+    ArrayNode a = Json.array();
+    for (Order o : orders) {
+      if (a.size() >= most) {
+        break; // The rest follows with the next report.
+      }
+      ObjectNode n = a.addObject();
+      if (o instanceof Order.Kill k) {
+        n.put("order", "kill").put("board", o.task()).put("pass", o.attempt());
+        n.put("wind_down_s", k.graceS());
+      } else {
+        n.put("order", o instanceof Order.Launch ? "launch" : "reap");
+        n.put("board", o.task()).put("pass", o.attempt());
+      }
+    }
+    return a;
+  }
+
+  public static ObjectNode response(long term, List<Order> orders, int most) {
+    ObjectNode n = Json.object().put("foreman", term);
+    n.set("orders", orders(orders, most));
+    return n;
+  }
+
+  public static ObjectNode commands(long term, long session, List<Order> orders) {
+    ObjectNode n = Json.object().put("foreman", term).put("shift", session);
+    n.set("orders", orders(orders, Integer.MAX_VALUE));
+    return n;
+  }
+
+  public static ObjectNode elsewhere(String member) {
+    ObjectNode n = Json.object();
+    return member == null ? n : n.put("foreman_at", member);
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/worker/WorkerClient.java
@@ -0,0 +1,49 @@
+package graderelay.worker;
+
+import graderelay.core.Action;
+import graderelay.core.Report;
+import graderelay.core.Scheduler.Sent;
+import graderelay.net.Reply;
+import graderelay.net.Transport;
+import graderelay.service.Constants;
+import graderelay.wire.Json;
+import graderelay.wire.WorkerCodec;
+
+/** Sends orders straight to workers: for speed, since reports' responses carry them as well. */
+public final class WorkerClient {
+  /** Hears how orders ended. */
+  public interface Done {
+    void done(Sent how, Report report);
+  }
+
+  private final Transport transport;
+
+  public WorkerClient(Transport transport) {
+    this.transport = transport;
+  }
+
+  public void send(Action.Command c, Done done) {
+    byte[] body = Json.write(WorkerCodec.commands(c.term(), c.session(), c.orders()));
+    transport.call(
+        c.address(),
+        "POST",
+        "/commands",
+        body,
+        Constants.WORKER_TIMEOUT_S,
+        r -> done.done(how(r), report(r)));
+  }
+
+  private static Sent how(Reply r) {
+    return switch (r.status()) {
+      case 200 -> Sent.EXECUTED;
+      case 409, 400 -> Sent.REFUSED;
+      case 0 -> r.sent() ? Sent.UNKNOWN : Sent.NEVER_LEFT;
+      default -> Sent.UNKNOWN;
+    };
+  }
+
+  private static Report report(Reply r) {
+    boolean has = r.status() == 200 || r.status() == 409;
+    return has ? WorkerCodec.report(Json.read(r.body())) : null;
+  }
+}
