--- /dev/null
+++ b/src/test/java/graderelay/StoriesTest.java
@@ -0,0 +1,277 @@
+package graderelay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import graderelay.sim.Rules;
+import graderelay.sim.SimWorld;
+import graderelay.wire.Json;
+import graderelay.wire.StateCodec;
+import org.junit.jupiter.api.Test;
+
+/** Short stories of whole controllers against the simulated outside world. */
+class StoriesTest {
+  private static SimWorld world(long seed) {
+    SimWorld w = new SimWorld(seed);
+    w.loop.run(3);
+    assertThat(w.owner()).isNotNegative();
+    return w;
+  }
+
+  private static void fine(SimWorld w) {
+    assertThat(w.rules.broken).isEmpty();
+  }
+
+  private static boolean writesSlice(JsonNode txn) {
+    for (JsonNode c : txn.path("then")) {
+      if (c.path("put").asText().startsWith(StateCodec.SLICES)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  @Test
+  void anArrayRunsToItsEndAndStaysDoneOnEveryNode() {
+    SimWorld w = world(1);
+    Rules.Known j = w.job("j-000001", 6, 2, 3, true);
+    w.submit(0, j);
+    w.loop.run(40);
+    for (int i = 0; i < 3; i++) {
+      assertThat(w.stage(i, j.id)).isEqualTo("done");
+    }
+    assertThat(w.state.value(StateCodec.jobKey(j.id))).isNull();
+    assertThat(w.state.value(StateCodec.endKey(j.id))).isNotNull();
+    assertThat(w.state.items.keySet()).noneMatch(k -> k.startsWith(StateCodec.SLICES));
+    fine(w);
+  }
+
+  @Test
+  void aCancelBeforeTheClaimKeepsTheTaskFromStarting() {
+    SimWorld w = world(2);
+    Rules.Known j = w.job("j-000002", 2, 2, 0, false);
+    w.submit(0, j);
+    w.loop.run(1);
+    w.cancel(1, j); // No machine is up yet, so nothing is claimed.
+    w.loop.run(30);
+    assertThat(w.rules.starts).isZero();
+    assertThat(w.stage(2, j.id)).isEqualTo("cancelled");
+    fine(w);
+  }
+
+  @Test
+  void aCancelAfterTheClaimIsAStopRequestThatTheOwnerCarriesOut() {
+    SimWorld w = world(3);
+    Rules.Known j = w.job("j-000003", 2, 2, 0, false);
+    w.submit(0, j);
+    w.loop.run(15);
+    assertThat(w.stage(0, j.id)).isEqualTo("running");
+    w.cancel(1, j);
+    w.loop.run(5);
+    assertThat(w.workers.values()).allMatch(x -> x.running().isEmpty());
+    assertThat(w.state.value(StateCodec.endKey(j.id)).path("end").asText()).isEqualTo("cancelled");
+    fine(w);
+  }
+
+  @Test
+  void aClaimWhoseAnswerIsLostIsNeitherForgottenNorMadeTwice() {
+    SimWorld w = world(4);
+    Rules.Known j = w.job("j-000004", 3, 1, 5, true);
+    int[] left = {1};
+    w.state.loseAnswer = t -> writesSlice(t) && left[0]-- > 0;
+    w.submit(0, j);
+    w.loop.run(40);
+    assertThat(left[0]).isLessThan(1);
+    assertThat(w.stage(0, j.id)).isEqualTo("done");
+    assertThat(w.rules.starts).isEqualTo(3);
+    fine(w);
+  }
+
+  @Test
+  void aClaimThatIsAppliedLateIsNotLaunchedBesidesItsRival() {
+    SimWorld w = world(5);
+    Rules.Known j = w.job("j-000005", 3, 1, 5, true);
+    int[] left = {1};
+    w.state.delay = t -> writesSlice(t) && left[0]-- > 0;
+    w.state.delayS = 3;
+    w.submit(0, j);
+    w.loop.run(40);
+    assertThat(w.stage(0, j.id)).isEqualTo("done");
+    fine(w);
+  }
+
+  @Test
+  void aPastOwnersLateWriteFails() {
+    SimWorld w = world(6);
+    Rules.Known j = w.job("j-000006", 4, 1, 30, true);
+    int owner = w.owner();
+    int[] left = {1};
+    w.state.delay = t -> writesSlice(t) && left[0]-- > 0;
+    w.state.delayS = 20;
+    w.submit((owner + 1) % 3, j);
+    while (left[0] > 0) {
+      w.loop.run(0.01);
+    }
+    w.crash(owner);
+    w.loop.run(70);
+    assertThat(w.owner()).isNotEqualTo(owner);
+    assertThat(w.stage(w.owner(), j.id)).isEqualTo("done");
+    fine(w);
+  }
+
+  @Test
+  void aTakeoverAdoptsWhatRunsAndStartsNothingTwice() {
+    SimWorld w = world(7);
+    Rules.Known j = w.job("j-000007", 4, 1, 0, false);
+    w.submit(0, j);
+    w.loop.run(15);
+    int starts = w.rules.starts;
+    w.crash(w.owner());
+    w.loop.run(30);
+    assertThat(w.rules.starts).isEqualTo(starts);
+    fine(w);
+  }
+
+  @Test
+  void aMissingTaskIsRequeuedOnlyAfterItsWorkersLease() {
+    SimWorld w = world(8);
+    Rules.Known j = w.job("j-000008", 1, 4, 0, false);
+    w.submit(0, j);
+    w.loop.run(15);
+    String machine = runner(w, "j-000008/0");
+    w.crash(w.owner());
+    for (int i = 0; i < 3; i++) {
+      w.net.cut("c" + i, machine);
+    }
+    double cutAt = w.loop.now();
+    int starts = w.rules.starts;
+    while (w.rules.starts == starts && w.loop.now() < cutAt + 60) {
+      w.loop.run(0.1);
+    }
+    assertThat(w.loop.now() - cutAt).isBetween(SimWorld.LEASE_S, 40.0);
+    fine(w);
+  }
+
+  @Test
+  void aLaunchThatIsHeldBackIsFencedBeforeItsJobIsOver() {
+    SimWorld w = world(9);
+    Rules.Known warm = w.job("j-000009", 1, 1, 0, false);
+    w.submit(0, warm);
+    w.loop.run(15);
+    String machine = runner(w, "j-000009/0");
+    int owner = w.owner();
+    Rules.Known j = w.job("j-000010", 2, 1, 0, false);
+    w.submit((owner + 1) % 3, j);
+    while (!claimed(w, j)) {
+      w.loop.run(0.001);
+    }
+    w.net.cut("c" + owner, machine);
+    w.loop.run(1);
+    w.cancel((owner + 1) % 3, j);
+    w.loop.run(9);
+    w.net.heal("c" + owner, machine);
+    w.loop.run(60);
+    assertThat(w.stage(0, j.id)).isEqualTo("cancelled");
+    assertThat(w.workers.values()).noneMatch(x -> x.running().contains("j-000010/0"));
+    fine(w);
+  }
+
+  private static String runner(SimWorld w, String task) {
+    return w.workers.values().stream()
+        .filter(x -> x.running().contains(task))
+        .findFirst()
+        .orElseThrow()
+        .name;
+  }
+
+  private static boolean claimed(SimWorld w, Rules.Known j) {
+    return w.state.value(StateCodec.SLICES + j.id + "/0") != null;
+  }
+
+  @Test
+  void aTeamsLimitHoldsWhileAMachineIsCutOff() {
+    SimWorld w = world(11);
+    Rules.Known j = w.job("j-000011", 12, 4, 0, false);
+    w.submit(0, w.job("j-000012", 5, 4, 30, true));
+    w.loop.run(16);
+    assertThat(w.answer(0, "POST", "/v1/jobs", Json.write(w.body(j))).path("http").asInt())
+        .isEqualTo(422); // A service must fit the limit as a whole.
+    w.submit(0, w.job("j-000013", 20, 4, 10, true));
+    w.loop.run(10);
+    String machine = w.workers.keySet().iterator().next();
+    for (int i = 0; i < 3; i++) {
+      w.net.cut("c" + i, machine);
+    }
+    w.loop.run(60);
+    fine(w);
+  }
+
+  @Test
+  void aJobOfMoreSlicesThanATransactionHoldsEnds() {
+    SimWorld w = world(12);
+    Rules.Known j = w.job("j-000014", 7000, 0.01, 1, true);
+    w.submit(0, j);
+    w.loop.run(200);
+    assertThat(w.stage(1, j.id)).isEqualTo("done");
+    assertThat(w.state.items.keySet()).noneMatch(k -> k.startsWith(StateCodec.SLICES));
+    fine(w);
+  }
+
+  @Test
+  void aPollAfterAnotherNodeSaidDoneIsNeverOlder() {
+    SimWorld w = world(13);
+    Rules.Known j = w.job("j-000015", 2, 1, 2, true);
+    w.submit(0, j);
+    int node = 0;
+    for (int i = 0; i < 300; i++) {
+      w.poll(node = (node + 1) % 3, j);
+      w.loop.run(0.1);
+    }
+    assertThat(j.lastStage).isEqualTo("done");
+    fine(w);
+  }
+
+  @Test
+  void aRetryOfAnAcceptedJobWhoseTypeVanishedIsStillKnown() {
+    SimWorld w = world(14);
+    Rules.Known j = w.job("j-000016", 1, 1, 2, true);
+    w.submit(0, j);
+    w.loop.run(30);
+    byte[] tooBig = Json.write(w.body(j).put("cpus", 512.0));
+    assertThat(w.answer(1, "POST", "/v1/jobs", tooBig).path("http").asInt()).isEqualTo(200);
+    byte[] other = Json.write(w.body(w.job("j-000017", 1, 1, 2, true)).put("cpus", 512.0));
+    assertThat(w.answer(1, "POST", "/v1/jobs", other).path("http").asInt()).isEqualTo(422);
+    fine(w);
+  }
+
+  @Test
+  void unknownJobsPathsAndMethodsAreToldApart() {
+    SimWorld w = world(15);
+    assertThat(w.answer(0, "GET", "/v1/jobs/j-999999", null).path("http").asInt()).isEqualTo(404);
+    assertThat(w.answer(0, "GET", "/v1/nothing", null).path("http").asInt()).isEqualTo(404);
+    assertThat(w.answer(0, "DELETE", "/v1/jobs", null).path("http").asInt()).isEqualTo(405);
+    assertThat(w.answer(0, "POST", "/v1/jobs", "[]".getBytes()).path("http").asInt())
+        .isEqualTo(400);
+  }
+
+  @Test
+  void withTheStateServiceAwayUsersAreToldAtOnceAndNothingIsForgotten() {
+    SimWorld w = world(16);
+    Rules.Known j = w.job("j-000018", 2, 1, 4, true);
+    w.submit(0, j);
+    w.loop.run(30);
+    w.state.outage(true);
+    w.loop.run(6);
+    double asked = w.loop.now();
+    Rules.Known k = w.job("j-000019", 1, 1, 2, true);
+    JsonNode a = w.answer(0, "POST", "/v1/jobs", Json.write(w.body(k)));
+    assertThat(a.path("http").asInt()).isEqualTo(503);
+    assertThat(w.loop.now() - asked).isLessThan(0.2);
+    assertThat(w.stage(0, j.id)).isEqualTo("done");
+    w.state.outage(false);
+    w.submit(0, k);
+    w.loop.run(60);
+    assertThat(w.stage(1, k.id)).isEqualTo("done");
+    fine(w);
+  }
+}
--- /dev/null
+++ b/src/test/java/graderelay/sim/Rules.java
@@ -0,0 +1,152 @@
+package graderelay.sim;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Judges what happens on the machines and what users are told by the protocol's rules. */
+public final class Rules {
+  /** What a job's user knows and asked for. */
+  public static final class Known {
+    public final String id;
+    final int tasks;
+    final double cpus;
+    final double runS;
+    final boolean spot;
+    final boolean spread;
+    public boolean accepted;
+    public double cancelAnswered = Double.NaN;
+    public String lastStage = "";
+    final Set<Integer> done = new HashSet<>();
+
+    Known(String id, int tasks, double cpus, double runS, boolean spot, boolean spread) {
+      this.id = id;
+      this.tasks = tasks;
+      this.cpus = cpus;
+      this.runS = runS;
+      this.spot = spot;
+      this.spread = spread;
+    }
+  }
+
+  private final SimLoop loop;
+  private final double cancelS;
+  private final double limit;
+  public final Map<String, Known> jobs = new LinkedHashMap<>();
+  private final Map<String, String> on = new HashMap<>();
+  private final Map<String, String> zoneOf = new HashMap<>();
+  private double used;
+  public final List<String> broken = new ArrayList<>();
+  public int starts;
+  private final Deque<String> trace = new ArrayDeque<>();
+
+  Rules(SimLoop loop, double cancelS, double limit) {
+    this.loop = loop;
+    this.cancelS = cancelS;
+    this.limit = limit;
+  }
+
+  public void log(String s) {
+    trace.add(String.format("%.3f %s", loop.now(), s));
+    if (trace.size() > 60) {
+      trace.removeFirst();
+    }
+  }
+
+  public List<String> trace() {
+    return new ArrayList<>(trace);
+  }
+
+  private void breaks(String rule) {
+    log("BROKEN " + rule);
+    broken.add(rule);
+  }
+
+  private Known job(String task) {
+    return jobs.get(task.substring(0, task.indexOf('/')));
+  }
+
+  double runTime(String task) {
+    return job(task).runS;
+  }
+
+  void started(String task, String machine, String type, String zone, boolean spot) {
+    Known j = job(task);
+    starts++;
+    log("start " + task + " on " + machine);
+    String other = on.put(task, machine);
+    zoneOf.put(task, zone);
+    if (other != null) {
+      breaks("ran_twice " + task + " on " + other + " and " + machine);
+    } else {
+      used += j.cpus;
+    }
+    if (used > limit + 1e-6) {
+      breaks("quota " + used);
+    }
+    if (spot && !j.spot) {
+      breaks("wrong_place " + task + " on spot " + machine);
+    }
+    if (j.spread) {
+      long here =
+          on.keySet().stream().filter(t -> job(t) == j && zoneOf.get(t).equals(zone)).count();
+      if (here > (j.tasks + 1) / 2) {
+        breaks("wrong_place " + task + ": " + here + " tasks in " + zone);
+      }
+    }
+    if (loop.now() > j.cancelAnswered + cancelS) {
+      breaks("ran_cancelled " + task + " starts");
+    }
+  }
+
+  void left(String task, String machine) {
+    if (machine.equals(on.get(task))) {
+      on.remove(task);
+      used -= job(task).cpus;
+      log("end " + task + " on " + machine);
+    }
+  }
+
+  void completed(String task) {
+    job(task).done.add(Integer.parseInt(task.substring(task.indexOf('/') + 1)));
+  }
+
+  /** To be called now and then: what a cancelled job may still run. */
+  void check() {
+    for (var e : on.entrySet()) {
+      if (loop.now() > job(e.getKey()).cancelAnswered + cancelS) {
+        breaks("ran_cancelled " + e.getKey() + " is on " + e.getValue());
+        return;
+      }
+    }
+  }
+
+  /** What a user was told about a job. */
+  void told(Known j, int status, String stage, boolean submission) {
+    if (status == 404 && j.accepted) {
+      breaks("forgotten " + j.id);
+    }
+    if (submission && j.accepted && (status == 400 || status == 422)) {
+      breaks("forgotten " + j.id + ": " + status);
+    }
+    if (status != 200 && status != 201) {
+      return;
+    }
+    boolean wasOver = j.lastStage.equals("done") || j.lastStage.equals("cancelled");
+    if (wasOver && !stage.equals(j.lastStage)) {
+      breaks("went_back " + j.id + " from " + j.lastStage + " to " + stage);
+    }
+    if (stage.equals("done") && j.done.size() < j.tasks) {
+      breaks("not_done " + j.id);
+    }
+    if (stage.equals("done") || stage.equals("cancelled")) {
+      j.lastStage = stage;
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/graderelay/sim/SimCloud.java
@@ -0,0 +1,149 @@
+package graderelay.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import graderelay.net.Exchange;
+import graderelay.net.Exchange.Answer;
+import graderelay.wire.Json;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** The cloud, written from the published protocol: two types, a late list, names that count up. */
+public final class SimCloud implements Exchange.Handler {
+  private static final double BOOT_S = 5;
+  private static final double LAG_S = 3;
+
+  /** One machine type. */
+  public record Type(String name, double cpus, double memGb, double price, double spotPrice) {}
+
+  private record Rented(String name, String type, String zone, boolean spot, double at) {}
+
+  private record Snapshot(double at, List<ObjectNode> machines) {}
+
+  private final SimWorld world;
+  private final List<Type> types;
+  private final List<String> zones;
+  private final Map<String, ArrayNode> hires = new HashMap<>();
+  private final TreeMap<String, Rented> rented = new TreeMap<>();
+  private final List<Snapshot> snapshots = new ArrayList<>();
+  private int next = 1;
+  public int capacity = 8;
+  public boolean noTypes;
+
+  SimCloud(SimWorld world, List<Type> types, List<String> zones) {
+    this.world = world;
+    this.types = types;
+    this.zones = zones;
+    snap();
+  }
+
+  private void snap() {
+    List<ObjectNode> list = new ArrayList<>();
+    for (Rented r : rented.values()) {
+      ObjectNode n = Json.object().put("ref", r.name()).put("address", r.name() + ":9000");
+      n.put("rig", r.type()).put("yard", r.zone()).put("borrowed", r.spot());
+      n.put("stage", world.workers.containsKey(r.name()) ? "running" : "booting");
+      n.put("age_s", world.loop.now() - r.at());
+      list.add(n);
+    }
+    snapshots.add(new Snapshot(world.loop.now(), list));
+    if (snapshots.size() > 20) {
+      snapshots.remove(0);
+    }
+    world.loop.after(1, this::snap);
+  }
+
+  @Override
+  public void handle(Exchange e) {
+    ObjectNode out = Json.object();
+    switch (e.path()) {
+      case "/machine_types" -> {
+        if (noTypes) {
+          e.to().accept(Answer.json(503, Json.error("trouble")));
+          return;
+        }
+        ArrayNode a = out.putArray("rigs");
+        for (Type t : types) {
+          ObjectNode n = a.addObject().put("sku", t.name()).put("cpus", t.cpus());
+          n.put("cards", 0).put("mem_gb", t.memGb()).put("cache_gb", 10).put("pull_gb_per_s", 1);
+          n.put("price", t.price()).put("market_price", t.spotPrice()).put("ready_s", BOOT_S);
+          ArrayNode z = n.putArray("yards");
+          zones.forEach(z::add);
+        }
+      }
+      case "/machines" -> {
+        if (e.method().equals("GET")) {
+          ArrayNode a = out.putArray("saws");
+          for (Snapshot s : snapshots) {
+            if (s.at() <= world.loop.now() - LAG_S) {
+              a.removeAll();
+              s.machines().forEach(a::add);
+            }
+          }
+          out.put("truncated", false);
+        } else {
+          hire(e, Json.read(e.body()));
+          return;
+        }
+      }
+      case "/machines/delete" -> {
+        for (JsonNode n : Json.read(e.body()).path("saws")) {
+          take(n.asText());
+        }
+      }
+      default -> throw new AssertionError(e.path());
+    }
+    e.to().accept(Answer.json(200, Json.write(out)));
+  }
+
+  private void hire(Exchange e, JsonNode n) {
+    String name = n.path("hire").asText();
+    ArrayNode names = hires.get(name);
+    if (names == null) {
+      names = Json.array();
+      int want = n.path("how_many").asInt();
+      for (int i = 0; i < want && rented.size() < capacity; i++) {
+        names.add(
+            add(n.path("rig").asText(), n.path("yard").asText(), n.path("borrowed").asBoolean()));
+      }
+      if (names.isEmpty()) {
+        e.to().accept(Answer.json(503, Json.error("no capacity")));
+        return;
+      }
+      hires.put(name, names);
+    }
+    ObjectNode out = Json.object();
+    out.set("saws", names);
+    e.to().accept(Answer.json(200, Json.write(out)));
+  }
+
+  private String add(String type, String zone, boolean spot) {
+    String m = String.format("n-%06d", next++);
+    rented.put(m, new Rented(m, type, zone, spot, world.loop.now()));
+    world.loop.after(
+        BOOT_S,
+        () -> {
+          if (rented.containsKey(m)) {
+            world.boot(m, type, zone, spot);
+          }
+        });
+    return m;
+  }
+
+  /** The machine is gone, by deletion or because the cloud took it. */
+  public void take(String name) {
+    rented.remove(name);
+    SimWorker w = world.workers.remove(name);
+    if (w != null) {
+      w.kill();
+    }
+  }
+
+  public List<String> names() {
+    return new ArrayList<>(rented.keySet());
+  }
+}
--- /dev/null
+++ b/src/test/java/graderelay/sim/SimNet.java
@@ -0,0 +1,134 @@
+package graderelay.sim;
+
+import graderelay.net.Exchange;
+import graderelay.net.Exchange.Answer;
+import graderelay.net.Reply;
+import graderelay.net.Transport;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+/**
+ * A network between hosts, of which each pair can be cut. What is sent into a cut is held and
+ * delivered when it heals, in order and however late, also if its sender has given up.
+ */
+public final class SimNet {
+  private final SimLoop loop;
+  private final RandomGenerator random;
+  private final Map<String, Exchange.Handler> hosts = new HashMap<>();
+  private final Map<String, String> hostOf = new HashMap<>();
+  private final Set<String> cuts = new HashSet<>();
+  private final Set<String> down = new HashSet<>();
+  private final Map<String, java.util.List<Runnable>> held = new HashMap<>();
+
+  /** Chance that an answer is lost although the request was carried out. */
+  public double loseAnswers;
+
+  public SimNet(SimLoop loop, RandomGenerator random) {
+    this.loop = loop;
+    this.random = random;
+  }
+
+  public void listen(String address, String host, Exchange.Handler h) {
+    hosts.put(address, h);
+    hostOf.put(address, host);
+  }
+
+  public void close(String address) {
+    hosts.remove(address);
+  }
+
+  private static String pair(String a, String b) {
+    return a.compareTo(b) < 0 ? a + "|" + b : b + "|" + a;
+  }
+
+  public void cut(String a, String b) {
+    cuts.add(pair(a, b));
+  }
+
+  /** Heals a cut and lets go what it held. */
+  public void heal(String a, String b) {
+    if (cuts.remove(pair(a, b))) {
+      var waiting = held.remove(pair(a, b));
+      if (waiting != null) {
+        waiting.forEach(r -> loop.after(0.001, r));
+      }
+    }
+  }
+
+  /** A host without power answers nothing and loses what is under way to it. */
+  public void down(String host, boolean isDown) {
+    if (isDown) {
+      down.add(host);
+    } else {
+      down.remove(host);
+    }
+  }
+
+  private double delay() {
+    return 0.0005 + random.nextDouble() * 0.004;
+  }
+
+  /** Passes a message now, or when the cut between the two hosts heals. */
+  private void pass(String from, String to, Runnable r) {
+    if (cuts.contains(pair(from, to))) {
+      held.computeIfAbsent(pair(from, to), k -> new java.util.ArrayList<>())
+          .add(() -> pass(from, to, r));
+    } else {
+      loop.after(delay(), r);
+    }
+  }
+
+  public Transport from(String host, boolean[] dead) {
+    return (address, method, path, body, timeoutS, done) -> {
+      boolean[] over = {false};
+      Consumer<Reply> once =
+          r -> {
+            if (!over[0] && !dead[0]) {
+              over[0] = true;
+              done.accept(r);
+            }
+          };
+      String to = hostOf.get(address);
+      boolean cutNow = to != null && cuts.contains(pair(host, to));
+      boolean newConnection = random.nextInt(4) == 0;
+      if (to == null || down.contains(to) || (cutNow && newConnection)) {
+        // Connecting hangs, so nothing ever leaves.
+        loop.after(Math.min(1, timeoutS), () -> once.accept(Reply.neverSent()));
+        return;
+      }
+      if (!hosts.containsKey(address)) {
+        loop.after(delay(), () -> once.accept(Reply.neverSent()));
+        return;
+      }
+      loop.after(timeoutS, () -> once.accept(Reply.lost()));
+      String q = path.contains("?") ? path.substring(path.indexOf('?') + 1) : "";
+      String p = path.contains("?") ? path.substring(0, path.indexOf('?')) : path;
+      byte[] sent = body == null ? new byte[0] : body;
+      pass(
+          host,
+          to,
+          () -> {
+            Exchange.Handler h = hosts.get(address);
+            if (h == null || down.contains(to)) {
+              return;
+            }
+            h.handle(
+                new Exchange(
+                    method,
+                    p,
+                    q,
+                    sent,
+                    (Answer a) -> {
+                      if (random.nextDouble() < loseAnswers) {
+                        return;
+                      }
+                      pass(to, host, () -> once.accept(new Reply(a.status(), a.body(), true)));
+                    }));
+          });
+    };
+  }
+}
--- /dev/null
+++ b/src/test/java/graderelay/sim/SimWorker.java
@@ -0,0 +1,296 @@
+package graderelay.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import graderelay.net.Exchange;
+import graderelay.net.Exchange.Answer;
+import graderelay.net.Loop;
+import graderelay.net.Reply;
+import graderelay.net.Transport;
+import graderelay.wire.Json;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** A machine's worker, written from the published protocol. */
+public final class SimWorker {
+  /** One attempt on the machine. */
+  public static final class Task {
+    final String id;
+    final int attempt;
+    String stage;
+    String why = "";
+    boolean saved;
+    Loop.Timer timer;
+
+    Task(String id, int attempt, String stage) {
+      this.id = id;
+      this.attempt = attempt;
+      this.stage = stage;
+    }
+
+    boolean exited() {
+      return stage.equals("exited");
+    }
+  }
+
+  public final String name;
+  public final String type;
+  public final String zone;
+  public final boolean spot;
+  private final SimLoop loop;
+  private final SimWorld world;
+  private final Transport transport;
+  private final double reportS;
+  private final double leaseS;
+  private final String[] nodes;
+  private final Map<String, Task> tasks = new LinkedHashMap<>();
+  private final boolean[] dead = {false};
+  private long session = 1;
+  private long seq;
+  private long token;
+  private double leaseFrom;
+  private int node;
+  private boolean reporting;
+  private double lastSent = Double.NEGATIVE_INFINITY;
+  public boolean failsEverything;
+
+  SimWorker(
+      SimWorld world,
+      String name,
+      String type,
+      String zone,
+      boolean spot,
+      double reportS,
+      double leaseS,
+      String[] nodes) {
+    this.world = world;
+    this.loop = world.loop;
+    this.name = name;
+    this.type = type;
+    this.zone = zone;
+    this.spot = spot;
+    this.reportS = reportS;
+    this.leaseS = leaseS;
+    this.nodes = nodes;
+    this.transport = world.net.from(name, dead);
+    this.leaseFrom = loop.now();
+    world.net.listen(address(), name, this::handle);
+    node = world.random.nextInt(nodes.length);
+    beat();
+    lease();
+  }
+
+  public String address() {
+    return name + ":9000";
+  }
+
+  /** The machine is gone with everything on it. */
+  public void kill() {
+    dead[0] = true;
+    tasks.values().forEach(t -> leave(t));
+    tasks.clear();
+    world.net.close(address());
+  }
+
+  public boolean isDead() {
+    return dead[0];
+  }
+
+  private void leave(Task t) {
+    if (t.timer != null) {
+      t.timer.cancel();
+    }
+    if (!t.exited()) {
+      world.rules.left(t.id, name);
+    }
+  }
+
+  private void beat() {
+    if (dead[0]) {
+      return;
+    }
+    report();
+    loop.after(reportS * (0.75 + world.random.nextDouble() / 2), this::beat);
+  }
+
+  private void lease() {
+    if (dead[0]) {
+      return;
+    }
+    if (loop.now() > leaseFrom + leaseS) {
+      tasks.values().forEach(this::leave);
+      tasks.clear();
+      session++;
+      leaseFrom = loop.now();
+      world.rules.log("lease over on " + name);
+    }
+    loop.after(0.1, this::lease);
+  }
+
+  private void changed() {
+    double wait = Math.max(0, lastSent + 0.5 - loop.now());
+    loop.after(wait, this::report);
+  }
+
+  private ObjectNode body() {
+    ObjectNode n = Json.object();
+    n.put("saw", name).put("address", address()).put("rig", type).put("yard", zone);
+    n.put("borrowed", spot).put("shift", session).put("tally", ++seq).put("foreman", token);
+    ArrayNode a = n.putArray("boards");
+    for (Task t : tasks.values()) {
+      ObjectNode o = a.addObject().put("board", t.id).put("pass", t.attempt);
+      o.put("stage", t.stage);
+      if (t.exited()) {
+        o.put("cause", t.why);
+      }
+    }
+    return n;
+  }
+
+  private void report() {
+    if (dead[0] || reporting || loop.now() < lastSent + 0.49) {
+      return;
+    }
+    reporting = true;
+    double sentAt = loop.now();
+    lastSent = sentAt;
+    long of = session;
+    String to = nodes[node];
+    transport.call(
+        to,
+        "POST",
+        "/checkin",
+        Json.write(body()),
+        4,
+        r -> {
+          reporting = false;
+          answered(r, of, sentAt);
+        });
+  }
+
+  private void answered(Reply r, long of, double sentAt) {
+    JsonNode n = r.status() == 0 ? Json.object() : Json.read(r.body());
+    if (r.status() == 200) {
+      long t = n.path("foreman").asLong(0);
+      if (of != session || t < token || t == 0) {
+        return;
+      }
+      see(t);
+      leaseFrom = Math.max(leaseFrom, sentAt);
+      execute(n.path("orders"));
+      return;
+    }
+    int next = (node + 1) % nodes.length;
+    double wait = 1;
+    if (r.status() == 421 && n.has("foreman_at")) {
+      int at = world.nodeIndex(n.get("foreman_at").asText());
+      if (at >= 0 && at != node) {
+        next = at;
+        wait = 0.1;
+      }
+    }
+    node = next;
+    loop.after(wait, this::report);
+  }
+
+  private void see(long t) {
+    if (t > token) {
+      token = t;
+      changed();
+    }
+  }
+
+  private void handle(Exchange e) {
+    if (e.path().equals("/status")) {
+      e.to().accept(Answer.json(200, Json.write(body())));
+      return;
+    }
+    JsonNode n = Json.read(e.body());
+    if (!n.has("foreman") || !n.has("shift")) {
+      e.to().accept(Answer.json(400, Json.write(Json.object())));
+      return;
+    }
+    if (n.get("foreman").asLong() < token || n.get("shift").asLong() != session) {
+      e.to().accept(Answer.json(409, Json.write(body())));
+      return;
+    }
+    see(n.get("foreman").asLong());
+    execute(n.path("orders"));
+    e.to().accept(Answer.json(200, Json.write(body())));
+  }
+
+  private void execute(JsonNode orders) {
+    for (JsonNode o : orders) {
+      String id = o.path("board").asText();
+      int attempt = o.path("pass").asInt();
+      String key = id + "#" + attempt;
+      Task t = tasks.get(key);
+      switch (o.path("order").asText()) {
+        case "launch" -> {
+          if (t == null) {
+            launch(id, attempt, key);
+          }
+        }
+        case "kill" -> {
+          if (t != null && !t.exited()) {
+            exit(t, "stopped");
+          }
+        }
+        default -> {
+          if (t != null && t.exited()) {
+            tasks.remove(key);
+          }
+        }
+      }
+    }
+  }
+
+  private void launch(String id, int attempt, String key) {
+    Task t = new Task(id, attempt, "pulling");
+    tasks.put(key, t);
+    for (Task other : tasks.values()) {
+      if (other != t && other.id.equals(id) && !other.exited()) {
+        t.stage = "exited";
+        t.why = "busy";
+        changed();
+        return;
+      }
+    }
+    t.timer = loop.after(0.3, () -> begin(t));
+    changed();
+  }
+
+  private void begin(Task t) {
+    t.stage = "running";
+    world.rules.started(t.id, name, type, zone, spot);
+    changed();
+    double run = failsEverything ? 0.1 : world.rules.runTime(t.id);
+    if (run > 0) {
+      t.timer = loop.after(run, () -> exit(t, failsEverything ? "error" : "done"));
+    }
+  }
+
+  private void exit(Task t, String why) {
+    if (t.stage.equals("running")) {
+      world.rules.left(t.id, name);
+      if (why.equals("done")) {
+        world.rules.completed(t.id);
+      }
+    }
+    if (t.timer != null) {
+      t.timer.cancel();
+    }
+    t.stage = "exited";
+    t.why = why;
+    changed();
+  }
+
+  public List<String> running() {
+    List<String> ids = new ArrayList<>();
+    tasks.values().stream().filter(t -> t.stage.equals("running")).forEach(t -> ids.add(t.id));
+    return ids;
+  }
+}
--- /dev/null
+++ b/src/test/java/graderelay/sim/SimWorld.java
@@ -0,0 +1,255 @@
+package graderelay.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import graderelay.core.Team;
+import graderelay.net.Exchange;
+import graderelay.net.Reply;
+import graderelay.net.Transport;
+import graderelay.service.Node;
+import graderelay.service.Settings;
+import graderelay.wire.Json;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
+
+/** Three controllers and their outside world, in memory and in virtual time. */
+public final class SimWorld {
+  public static final double LEASE_S = 12;
+  public static final double REPORT_S = 2;
+  public static final double CANCEL_S = 41;
+  public static final double LIMIT = 24;
+  public static final int TXN_OPS = 12;
+
+  public final SplittableRandom random;
+  public final SimLoop loop = new SimLoop();
+  public final SimNet net;
+  public final SimState state;
+  public final SimCloud cloud;
+  public final Rules rules;
+  public final Map<String, SimWorker> workers = new LinkedHashMap<>();
+  public final Node[] nodes = new Node[3];
+  public final boolean[][] refused = new boolean[3][1];
+  private final boolean[][] dead = new boolean[3][];
+  private final String[] apis = {"c0:80", "c1:80", "c2:80"};
+  private final Transport users;
+
+  public SimWorld(long seed) {
+    this(seed, List.of(new SimCloud.Type("small", 4, 16, 1, 0.4)));
+  }
+
+  public SimWorld(long seed, List<SimCloud.Type> types) {
+    random = new SplittableRandom(seed);
+    net = new SimNet(loop, random);
+    state = new SimState(loop, TXN_OPS);
+    rules = new Rules(loop, CANCEL_S, LIMIT);
+    cloud = new SimCloud(this, types, List.of("a", "b"));
+    for (int i = 0; i < 3; i++) {
+      net.listen("state" + i + ":1", "state", state.forNode(refused[i]));
+    }
+    net.listen("cloud:1", "cloud", cloud);
+    users = net.from("users", new boolean[] {false});
+    for (int i = 0; i < 3; i++) {
+      start(i);
+    }
+    check();
+  }
+
+  private void check() {
+    rules.check();
+    loop.after(0.5, this::check);
+  }
+
+  int nodeIndex(String member) {
+    return Integer.parseInt(member.substring(2));
+  }
+
+  public Settings settings(int i) {
+    List<Settings.Peer> peers = new ArrayList<>();
+    for (int k = 0; k < 3; k++) {
+      if (k != i) {
+        peers.add(new Settings.Peer("m-" + k, "c" + k + ":81"));
+      }
+    }
+    return new Settings(
+        "m-" + i,
+        "a",
+        apis[i],
+        "c" + i + ":81",
+        peers,
+        "cloud:1",
+        "state" + i + ":1",
+        List.of(new Team("team", 8, LIMIT, 0, 0)),
+        Map.of("web", 1.0),
+        REPORT_S,
+        LEASE_S,
+        CANCEL_S,
+        1000,
+        300,
+        16,
+        TXN_OPS,
+        50,
+        3,
+        900);
+  }
+
+  public void start(int i) {
+    boolean[] over = {false};
+    dead[i] = over;
+    double drift = (random.nextDouble() - 0.5) * 0.001;
+    Node n =
+        new Node(loop.process(drift, over), net.from("c" + i, over), settings(i), random.split());
+    nodes[i] = n;
+    net.listen(apis[i], "c" + i, e -> deliver(over, e, n::handle));
+    net.listen("c" + i + ":81", "c" + i, e -> deliver(over, e, n::handleMesh));
+    n.start();
+  }
+
+  private static void deliver(boolean[] over, Exchange e, Exchange.Handler h) {
+    if (!over[0]) {
+      h.handle(
+          new Exchange(
+              e.method(),
+              e.path(),
+              e.query(),
+              e.body(),
+              a -> {
+                if (!over[0]) {
+                  e.to().accept(a);
+                }
+              }));
+    }
+  }
+
+  /** Ends a controller without a word. */
+  public void crash(int i) {
+    dead[i][0] = true;
+    net.close(apis[i]);
+    net.close("c" + i + ":81");
+    rules.log("crash of m-" + i);
+  }
+
+  public boolean isUp(int i) {
+    return !dead[i][0];
+  }
+
+  void boot(String name, String type, String zone, boolean spot) {
+    workers.put(name, new SimWorker(this, name, type, zone, spot, REPORT_S, LEASE_S, apis));
+  }
+
+  /** The controller that owns the fleet, or -1. */
+  public int owner() {
+    for (int i = 0; i < 3; i++) {
+      if (!dead[i][0] && nodes[i].owner()) {
+        return i;
+      }
+    }
+    return -1;
+  }
+
+  // ---------------------------------------------------------------- users
+
+  public Rules.Known job(String id, int tasks, double cpus, double runS, boolean spot) {
+    return job(id, tasks, cpus, runS, spot, false);
+  }
+
+  public Rules.Known job(
+      String id, int tasks, double cpus, double runS, boolean spot, boolean spread) {
+    Rules.Known k = new Rules.Known(id, tasks, cpus, runS, spot, spread);
+    rules.jobs.put(id, k);
+    return k;
+  }
+
+  public ObjectNode body(Rules.Known k) {
+    ObjectNode n = Json.object().put("ref", k.id).put("lot", k.runS == 0 ? "web" : "batch");
+    n.put("crew", "team").put("cut", k.runS == 0 ? "standing" : "array");
+    n.put("urgency", k.runS == 0 ? "prod" : "normal").put("boards", k.tasks);
+    n.put("cpus", k.cpus).put("cards", 0.0).put("mem_gb", 1.0).put("blade", "i");
+    n.put("pull_gb", 1.0).put("one_zone", false).put("apart", k.spread).put("borrowed", k.spot);
+    n.put("expected_s", k.runS).put("stack_s", 0.0).put("stack_write_s", 0.0);
+    return n;
+  }
+
+  /** Submits until it is accepted. */
+  public void submit(int node, Rules.Known k) {
+    submit(node, k, 0);
+  }
+
+  private void submit(int node, Rules.Known k, int tries) {
+    ask(
+        node,
+        "POST",
+        "/v1/jobs",
+        Json.write(body(k)),
+        (r, n) -> {
+          rules.told(k, r.status(), n.path("stage").asText(), true);
+          if (r.status() == 200 || r.status() == 201) {
+            k.accepted = true;
+          } else if (tries < 60) {
+            loop.after(1, () -> submit((node + 1) % 3, k, tries + 1));
+          }
+        });
+  }
+
+  /** Cancels until it is confirmed. */
+  public void cancel(int node, Rules.Known k) {
+    ask(
+        node,
+        "POST",
+        "/v1/jobs/" + k.id + "/withdraw",
+        null,
+        (r, n) -> {
+          rules.told(k, r.status(), n.path("stage").asText(), false);
+          if (r.status() == 200) {
+            if (n.path("stage").asText().equals("cancelled")) {
+              k.cancelAnswered = loop.now();
+              rules.log("cancelled " + k.id);
+            }
+          } else {
+            loop.after(1, () -> cancel((node + 1) % 3, k));
+          }
+        });
+  }
+
+  public void poll(int node, Rules.Known k) {
+    ask(
+        node,
+        "GET",
+        "/v1/jobs/" + k.id,
+        null,
+        (r, n) -> rules.told(k, r.status(), n.path("stage").asText(), false));
+  }
+
+  public void ask(
+      int node, String method, String path, byte[] body, BiConsumer<Reply, JsonNode> then) {
+    users.call(
+        apis[node],
+        method,
+        path,
+        body,
+        5,
+        r -> then.accept(r, r.body().length == 0 ? Json.object() : Json.read(r.body())));
+  }
+
+  /** Asks and returns the answer, running the world meanwhile. */
+  public JsonNode answer(int node, String method, String path, byte[] body) {
+    JsonNode[] got = {null};
+    ask(
+        node,
+        method,
+        path,
+        body,
+        (r, n) -> got[0] = (n.isObject() ? (ObjectNode) n : Json.object()).put("http", r.status()));
+    for (int i = 0; i < 600 && got[0] == null; i++) {
+      loop.run(0.01);
+    }
+    return got[0];
+  }
+
+  public String stage(int node, String id) {
+    return answer(node, "GET", "/v1/jobs/" + id, null).path("stage").asText();
+  }
+}
