--- /dev/null
+++ b/src/test/java/graderelay/ModelTest.java
@@ -0,0 +1,236 @@
+package graderelay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import graderelay.sim.Rules;
+import graderelay.sim.SimWorker;
+import graderelay.sim.SimWorld;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Random days: controllers, network, machines and state service fail in random ways while users
+ * submit, poll and cancel. Every rule is judged as it goes. A failing day is made as short as
+ * possible before it is printed.
+ */
+class ModelTest {
+  private static final double DAY_S = 150;
+  private static final double CALM_S = 150;
+
+  /** One trouble: what, when, for how long, and a number that picks whom. */
+  private record Fault(String kind, double at, double length, int pick) {}
+
+  private record Verdict(List<String> broken, List<String> trace) {}
+
+  static List<Long> seeds() {
+    List<Long> seeds = new ArrayList<>();
+    long n = Long.getLong("seeds", 60);
+    for (long s = 1; s <= n; s++) {
+      seeds.add(s);
+    }
+    return seeds;
+  }
+
+  private static List<Fault> schedule(long seed) {
+    SplittableRandom r = new SplittableRandom(seed);
+    String[] kinds = {
+      "crash",
+      "crash",
+      "blink",
+      "crashOwner",
+      "crashAll",
+      "cutMachine",
+      "cutOwnerMachine",
+      "cutState",
+      "cutNodes",
+      "outage",
+      "refuse",
+      "late",
+      "lostAnswers",
+      "takeMachine",
+      "sick",
+      "refuseOwner",
+      "lateAll"
+    };
+    List<Fault> faults = new ArrayList<>();
+    int n = 3 + r.nextInt(9);
+    for (int i = 0; i < n; i++) {
+      faults.add(
+          new Fault(
+              kinds[r.nextInt(kinds.length)],
+              15 + r.nextDouble() * (DAY_S - 30),
+              0.5 + r.nextDouble() * (r.nextInt(3) == 0 ? 40 : 8),
+              r.nextInt(1000)));
+    }
+    return faults;
+  }
+
+  private static void apply(SimWorld w, Fault f) {
+    List<SimWorker> workers = new ArrayList<>(w.workers.values());
+    SimWorker worker = workers.isEmpty() ? null : workers.get(f.pick() % workers.size());
+    int node = f.pick() % 3;
+    int owner = w.owner() < 0 ? node : w.owner();
+    w.rules.log("fault " + f);
+    switch (f.kind()) {
+      case "crash", "blink", "crashOwner" -> {
+        int i = f.kind().equals("crashOwner") ? owner : node;
+        restart(w, i, f.kind().equals("blink") ? 0.2 : f.length());
+      }
+      case "crashAll" -> {
+        for (int i = 0; i < 3; i++) {
+          restart(w, i, f.length() * (1 + i * 0.1));
+        }
+      }
+      case "cutMachine" -> {
+        if (worker != null) {
+          for (int i = 0; i < 3; i++) {
+            cut(w, "c" + i, worker.name, f.length());
+          }
+        }
+      }
+      case "cutOwnerMachine" -> {
+        if (worker != null) {
+          cut(w, "c" + owner, worker.name, f.length());
+        }
+      }
+      case "cutState" -> cut(w, "c" + (f.pick() % 2 == 0 ? owner : node), "state", f.length());
+      case "cutNodes" -> {
+        cut(w, "c0", "c1", f.length());
+        cut(w, "c1", "c2", f.length());
+      }
+      case "outage" -> {
+        w.state.outage(true);
+        w.loop.after(Math.min(25, f.length()), () -> w.state.outage(false));
+      }
+      case "refuse", "refuseOwner" -> {
+        int i = f.kind().equals("refuse") ? node : owner;
+        w.refused[i][0] = true;
+        w.loop.after(f.length(), () -> w.refused[i][0] = false);
+      }
+      case "late" -> {
+        int[] left = {3};
+        w.state.delayS = f.length();
+        w.state.delay = t -> left[0]-- > 0;
+      }
+      case "lateAll" -> {
+        int[] left = {12};
+        w.state.delayS = Math.min(6, f.length());
+        w.state.delay = t -> left[0]-- > 0 && f.pick() % 2 == 0;
+      }
+      case "lostAnswers" -> {
+        w.net.loseAnswers = 0.2;
+        w.loop.after(f.length(), () -> w.net.loseAnswers = 0);
+      }
+      case "takeMachine" -> {
+        if (worker != null) {
+          w.cloud.take(worker.name);
+        }
+      }
+      default -> {
+        if (worker != null) {
+          worker.failsEverything = true;
+          w.loop.after(f.length(), () -> worker.failsEverything = false);
+        }
+      }
+    }
+  }
+
+  private static void restart(SimWorld w, int i, double after) {
+    if (w.isUp(i)) {
+      w.crash(i);
+      w.loop.after(after, () -> w.start(i));
+    }
+  }
+
+  private static void cut(SimWorld w, String a, String b, double length) {
+    w.net.cut(a, b);
+    w.loop.after(length, () -> w.net.heal(a, b));
+  }
+
+  private static Verdict play(long seed, List<Fault> faults) {
+    SimWorld w = new SimWorld(seed);
+    SplittableRandom r = new SplittableRandom(seed * 31 + 7);
+    List<Rules.Known> arrays = new ArrayList<>();
+    for (int i = 0; i < 14; i++) {
+      boolean service = r.nextInt(3) == 0;
+      Rules.Known j =
+          w.job(
+              String.format("j-%06d", i),
+              1 + r.nextInt(service ? 3 : 9),
+              1 + r.nextInt(3),
+              service ? 0 : 1 + r.nextDouble() * 15,
+              !service && r.nextBoolean(),
+              r.nextInt(3) == 0);
+      int node = r.nextInt(3);
+      double at = 1 + r.nextDouble() * (DAY_S - 20);
+      w.loop.after(at, () -> w.submit(node, j));
+      if (service || r.nextInt(4) == 0) {
+        w.loop.after(at + r.nextDouble() * 60, () -> cancelIfAccepted(w, r.nextInt(3), j));
+      } else {
+        arrays.add(j);
+      }
+      polls(w, j, node);
+    }
+    for (Fault f : faults) {
+      w.loop.after(f.at(), () -> apply(w, f));
+    }
+    // Stops at the first broken rule, so that the trace ends with it.
+    for (int i = 0; i < DAY_S + CALM_S && w.rules.broken.isEmpty(); i++) {
+      w.loop.run(1);
+    }
+    List<String> broken = new ArrayList<>(w.rules.broken);
+    if (broken.isEmpty()) {
+      for (Rules.Known j : arrays) {
+        if (j.accepted && !j.lastStage.equals("done")) {
+          broken.add("never done: " + j.id + ", owner " + w.owner());
+        }
+      }
+    }
+    return new Verdict(broken, w.rules.trace());
+  }
+
+  private static void cancelIfAccepted(SimWorld w, int node, Rules.Known j) {
+    if (j.accepted) {
+      w.cancel(node, j);
+    } else {
+      w.loop.after(2, () -> cancelIfAccepted(w, node, j));
+    }
+  }
+
+  private static void polls(SimWorld w, Rules.Known j, int node) {
+    if (j.accepted) {
+      w.poll(node, j);
+    }
+    w.loop.after(2.3, () -> polls(w, j, (node + 1) % 3));
+  }
+
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void noRuleBreaksOnARandomDay(long seed) {
+    List<Fault> faults = schedule(seed);
+    Verdict v = play(seed, faults);
+    if (!v.broken().isEmpty()) {
+      boolean shorter = true;
+      while (shorter) {
+        shorter = false;
+        for (int i = 0; i < faults.size(); i++) {
+          List<Fault> less = new ArrayList<>(faults);
+          less.remove(i);
+          Verdict u = play(seed, less);
+          if (!u.broken().isEmpty()) {
+            faults = less;
+            v = u;
+            shorter = true;
+            break;
+          }
+        }
+      }
+    }
+    assertThat(v.broken())
+        .as("seed %s, faults %s, trace:%n%s", seed, faults, String.join("\n", v.trace()))
+        .isEmpty();
+  }
+}
