--- /dev/null
+++ b/src/main/java/graderelay/mesh/MeshApi.java
@@ -0,0 +1,73 @@
+package graderelay.mesh;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import graderelay.net.Exchange;
+import graderelay.net.Exchange.Answer;
+import graderelay.net.Loop;
+import graderelay.service.Constants;
+import graderelay.state.Ownership;
+import graderelay.state.StateClient;
+import graderelay.wire.Json;
+import graderelay.wire.MeshCodec;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/** Answers the other controllers. */
+public final class MeshApi {
+  private final Loop loop;
+  private final Ownership ownership;
+  private final StateClient state;
+  private final BiConsumer<byte[], Consumer<Answer>> reports;
+  private final Exchange.Handler users;
+
+  public MeshApi(
+      Loop loop,
+      Ownership ownership,
+      StateClient state,
+      BiConsumer<byte[], Consumer<Answer>> reports,
+      Exchange.Handler users) {
+    this.loop = loop;
+    this.ownership = ownership;
+    this.state = state;
+    this.reports = reports;
+    this.users = users;
+  }
+
+  public void handle(Exchange e) {
+    JsonNode n =
+        e.method().equals("POST") && e.path().equals(MeshClient.PATH)
+            ? Json.readCbor(e.body())
+            : null;
+    switch (MeshCodec.kind(n)) {
+      case MeshCodec.PROMISE -> {
+        boolean granted =
+            ownership.promise(
+                n.path("member").asText(), n.path("term").asLong(), n.path("seconds").asDouble());
+        boolean reaches =
+            state.failingFor() == 0 && loop.now() - state.lastOk() < Constants.REACHES_S;
+        answer(e, MeshCodec.promised(granted, reaches));
+      }
+      case MeshCodec.HANDOVER -> {
+        ownership.takeHandover(
+            n.path("member").asText(), n.path("term").asLong(), n.path("hold").asLong());
+        answer(e, Json.object());
+      }
+      case MeshCodec.REPORT ->
+          reports.accept(MeshCodec.bytes(n), a -> answer(e, MeshCodec.answer(a)));
+      case MeshCodec.USER ->
+          users.handle(
+              new Exchange(
+                  n.path("method").asText(),
+                  n.path("path").asText(),
+                  "",
+                  MeshCodec.bytes(n),
+                  a -> answer(e, MeshCodec.answer(a))));
+      default -> e.to().accept(Answer.json(404, Json.error("no such message")));
+    }
+  }
+
+  private static void answer(Exchange e, ObjectNode n) {
+    e.to().accept(new Answer(200, Json.writeCbor(n), "application/cbor", 0, false));
+  }
+}
--- a/src/main/java/graderelay/service/Constants.java
+++ b/src/main/java/graderelay/service/Constants.java
@@ -137,6 +137,21 @@
   /** Seconds of pause before a node tries again to take over, with as much again at random. */
   public static final double TAKEOVER_RETRY_S = 0.15;
 
+  /**
+   * Seconds for which a peer promises not to take over, while the owner can't renew its hold. A
+   * restarted node waits as long, since it may have forgotten a promise.
+   */
+  public static final double PROMISE_S = 2.0;
+
+  /** Seconds between requests for promises. */
+  public static final double PROMISE_EVERY_S = 0.4;
+
+  /** Seconds of failing renewals after which a peer that is served better gets the fleet. */
+  public static final double HANDOVER_S = 0.8;
+
+  /** Seconds since its last answer for which a node says that it reaches the state service. */
+  public static final double REACHES_S = 1.3;
+
   // ---------------------------------------------------------------- state service
 
   /** Share of the deployment's request rate that one node gives itself. */
@@ -177,6 +192,21 @@
   /** Seconds for a poll; its user waits for two. */
   public static final double POLL_DEADLINE_S = 1.7;
 
+  /**
+   * Seconds after which a request that the state service has not answered is asked of a peer too:
+   * usual answers take 10 ms. Both carry the same conditions, so the first answer is as good.
+   */
+  public static final double HEDGE_S = 0.08;
+
+  /** Seconds within which a worker that comes back is taken to be unable to reach the owner. */
+  public static final double RELAY_MEMORY_S = 12;
+
+  /** Workers remembered as pointed to the owner; each is a few bytes. */
+  public static final int MOST_POINTED = 4096;
+
+  /** Seconds after which a worker whose reports are passed on is pointed to the owner again. */
+  public static final double RELAY_FOR_S = 25;
+
   /** Seconds that a user is told to wait before the next try. */
   public static final int RETRY_AFTER_S = 1;
 
--- a/src/main/java/graderelay/service/Node.java
+++ b/src/main/java/graderelay/service/Node.java
@@ -7,6 +7,9 @@
 import graderelay.core.Policy;
 import graderelay.core.Report;
 import graderelay.core.SliceKey;
+import graderelay.mesh.Hedge;
+import graderelay.mesh.MeshApi;
+import graderelay.mesh.MeshClient;
 import graderelay.net.Exchange;
 import graderelay.net.Exchange.Answer;
 import graderelay.net.Loop;
@@ -38,6 +41,9 @@
   private final WorkerClient workers;
   private final UserApi users;
   private final WorkerApi reports;
+  private final MeshClient mesh;
+  private final MeshApi meshApi;
+  private final Hedge hedge;
   private final Policy policy;
   private List<MachineType> types;
   private FleetDuty duty;
@@ -53,6 +59,7 @@
     this.state =
         new StateClient(loop, transport, s.stateAddress(), s.stateRps(), s.stateChangesPerS());
     this.cache = new Cache(loop, state, new Changes());
+    this.mesh = new MeshClient(transport, s.peers());
     this.ownership =
         new Ownership(
             loop,
@@ -61,12 +68,15 @@
             s.member(),
             s.meshAddress(),
             s.leaseS(),
+            mesh,
             random::nextDouble,
             new Office());
     this.cloud = new CloudClient(loop, transport, s.cloudAddress(), s.cloudRps());
     this.workers = new WorkerClient(transport);
     this.users = new UserApi(loop, state, cache, s, () -> types, () -> policy.tuning().sliceCap());
-    this.reports = new WorkerApi(ownership, cache, this::onReport);
+    this.reports = new WorkerApi(loop, ownership, cache, mesh, this::onReport);
+    this.hedge = new Hedge(loop, mesh);
+    this.meshApi = new MeshApi(loop, ownership, state, reports::relayed, this::handleHere);
   }
 
   private static Policy policyOf(Settings s) {
@@ -144,7 +154,10 @@
 
   /** True if this node can take requests. */
   public boolean ready() {
-    return cache.loaded() && types != null && loop.now() - state.lastOk() < Constants.READY_S;
+    boolean here =
+        cache.loaded() && types != null && loop.now() - state.lastOk() < Constants.READY_S;
+    // While the state service refuses us alone, a peer decides what we are asked.
+    return here || loop.now() - hedge.lastHelp() < Constants.READY_S;
   }
 
   public boolean owner() {
@@ -181,7 +194,17 @@
       } else {
         wrongMethod(e);
       }
-    } else if (path.equals(JOBS)) {
+    } else {
+      hedge.handle(e, this::handleHere);
+    }
+  }
+
+  /** Requests about jobs, decided by this node itself. */
+  private void handleHere(Exchange e) {
+    String path = e.path();
+    boolean get = e.method().equals("GET");
+    boolean post = e.method().equals("POST");
+    if (path.equals(JOBS)) {
       if (post) {
         users.submit(e);
       } else {
@@ -216,7 +239,7 @@
 
   /** Requests of the other controllers. */
   public void handleMesh(Exchange e) {
-    UserApi.refuse(e, 404, "no such path");
+    meshApi.handle(e);
   }
 
   // ---------------------------------------------------------------- office and records
--- a/src/main/java/graderelay/state/Cache.java
+++ b/src/main/java/graderelay/state/Cache.java
@@ -77,6 +77,7 @@
   private long ownerMark;
   private long term;
   private long termMark;
+  private String termMember = "";
   private JsonNode settings;
   private long settingsMark;
   private long revision;
@@ -134,6 +135,11 @@
     return term;
   }
 
+  /** Who won the last term. */
+  public String termMember() {
+    return termMember;
+  }
+
   public long termMark() {
     return termMark;
   }
@@ -328,6 +334,7 @@
       told(listener::onOwner);
     } else if (key.equals(StateCodec.TERM) && mark > termMark) {
       term = value.path("term").asLong();
+      termMember = value.path("member").asText();
       termMark = mark;
     } else if (key.equals(StateCodec.SETTINGS) && mark > settingsMark) {
       settings = value;
--- a/src/main/java/graderelay/state/Ownership.java
+++ b/src/main/java/graderelay/state/Ownership.java
@@ -1,9 +1,14 @@
 package graderelay.state;
 
+import graderelay.mesh.MeshClient;
 import graderelay.net.Loop;
 import graderelay.net.TokenBucket.Use;
 import graderelay.service.Constants;
+import graderelay.service.Settings;
+import graderelay.wire.MeshCodec;
 import graderelay.wire.StateCodec;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import org.slf4j.Logger;
@@ -42,7 +47,21 @@
   private boolean closed;
   private Loop.Timer renewal;
   private boolean raising;
-  private double notBefore = Double.NEGATIVE_INFINITY;
+
+  /** This node has promised, or may have, not to act as the owner before this time. */
+  private double notBefore;
+
+  /** When renewals began to fail, or NaN. */
+  private double failingSince = Double.NaN;
+
+  private double standBackUntil = Double.NEGATIVE_INFINITY;
+  private boolean asking;
+  private long promisedTerm;
+
+  /** What each peer promised, until when on our clock. */
+  private final Map<String, Double> promised = new HashMap<>();
+
+  private final MeshClient mesh;
 
   public Ownership(
       Loop loop,
@@ -51,6 +70,7 @@
       String member,
       String address,
       double leaseS,
+      MeshClient mesh,
       DoubleSupplier random,
       Listener listener) {
     this.loop = loop;
@@ -60,16 +80,94 @@
     this.member = member;
     this.address = address;
     this.random = random;
+    this.mesh = mesh;
     this.holdS = leaseS * Constants.HOLD_OF_LEASE;
+    // An earlier process of this member may have made a promise just before it ended.
+    this.notBefore = loop.now() + Constants.PROMISE_S * (1 + Constants.DRIFT);
   }
 
   public boolean owner() {
     return owner;
   }
 
-  /** True if we may still speak for the controllers. */
+  /**
+   * True if we may still speak for the controllers: the hold lasts, or every other controller has
+   * promised not to take over meanwhile, since nobody else could.
+   */
   public boolean entitled() {
-    return owner && loop.now() < heldUntil;
+    return owner && (loop.now() < heldUntil || loop.now() < promisedUntil());
+  }
+
+  private double promisedUntil() {
+    double until = Double.POSITIVE_INFINITY;
+    for (Settings.Peer p : mesh.peers()) {
+      until = Math.min(until, promised.getOrDefault(p.member(), Double.NEGATIVE_INFINITY));
+    }
+    return mesh.peers().isEmpty() ? Double.NEGATIVE_INFINITY : until;
+  }
+
+  /** A peer that can't renew its hold asks us not to take over. */
+  public boolean promise(String asker, long itsTerm, double seconds) {
+    if (owner || closed || cache.term() > itsTerm) {
+      return false;
+    }
+    notBefore = Math.max(notBefore, loop.now() + seconds * (1 + Constants.DRIFT));
+    promisedTerm = Math.max(promisedTerm, itsTerm);
+    return true;
+  }
+
+  /** A peer has stopped acting as the owner and leaves us its hold to end. */
+  public void takeHandover(String from, long itsTerm, long itsHold) {
+    if (owner || closed || itsTerm < Math.max(promisedTerm, cache.term())) {
+      return;
+    }
+    LOG.info("{} hands the fleet over", from);
+    notBefore = Double.NEGATIVE_INFINITY;
+    state.endHold(itsHold, x -> cache.catchUp(ok -> consider()));
+  }
+
+  /** Asks every peer for its promise, as long as renewals fail. */
+  private void askPeers() {
+    if (!owner || closed || Double.isNaN(failingSince)) {
+      asking = false;
+      return;
+    }
+    asking = true;
+    double sentAt = loop.now();
+    long of = term;
+    for (Settings.Peer p : mesh.peers()) {
+      mesh.send(
+          p.address(),
+          MeshCodec.promise(member, of, Constants.PROMISE_S),
+          mesh.timeoutS(),
+          n -> {
+            if (n == null || !owner || term != of) {
+              return;
+            }
+            if (n.path("granted").asBoolean()) {
+              promised.put(
+                  p.member(),
+                  sentAt + Constants.PROMISE_S * (1 - Constants.DRIFT) - Constants.HOLD_MARGIN_S);
+            }
+            boolean alone =
+                n.path("reaches").asBoolean()
+                    && !Double.isNaN(failingSince)
+                    && loop.now() - failingSince > Constants.HANDOVER_S;
+            if (alone) {
+              handOver(p);
+            }
+          });
+    }
+    loop.after(Constants.PROMISE_EVERY_S, this::askPeers);
+  }
+
+  /** The state service refuses us alone: who is served should own the fleet. */
+  private void handOver(Settings.Peer p) {
+    long old = hold;
+    long of = term;
+    lose("only this node can't reach the state service; leaving the fleet to " + p.member());
+    standBack(Constants.PROMISE_S);
+    mesh.send(p.address(), MeshCodec.handover(member, of, old), mesh.timeoutS(), n -> {});
   }
 
   public long term() {
@@ -146,12 +244,20 @@
   }
 
   /** Keeps this node from taking over for a while, after it gave the fleet up. */
-  public void standBack(double seconds) {
-    notBefore = loop.now() + seconds;
+  private void standBack(double seconds) {
+    standBackUntil = loop.now() + seconds;
+    notBefore = Math.max(notBefore, standBackUntil);
+  }
+
+  private double barredUntil(boolean ours) {
+    return ours ? standBackUntil : notBefore;
   }
 
   private void take() {
-    if (cache.owner() != null || loop.now() < notBefore) {
+    // If the last owner was an earlier process of ours, nobody else can rely on a promise. The
+    // transaction is conditioned on the term record that says so.
+    boolean ours = member.equals(cache.termMember());
+    if (cache.owner() != null || loop.now() < barredUntil(ours)) {
       if (cache.owner() == null) {
         again();
       }
@@ -167,26 +273,26 @@
             again();
             return;
           }
-          takeWith(h.body().path("permit").asLong(), sentAt);
+          takeWith(h.body().path("permit").asLong(), sentAt, ours);
         });
   }
 
-  private void takeWith(long newHold, double sentAt) {
+  private void takeWith(long newHold, double sentAt, boolean ours) {
     long newTerm = cache.term() + 1;
     StateCodec.Owner me = new StateCodec.Owner(member, newTerm, address);
     StateClient.Txn txn =
         new StateClient.Txn()
             .when(StateCodec.OWNER, 0)
             .when(StateCodec.TERM, cache.termMark())
-            .put(StateCodec.TERM, StateCodec.term(newTerm))
+            .put(StateCodec.TERM, StateCodec.term(newTerm, member))
             .put(StateCodec.OWNER, StateCodec.owner(me), newHold);
     state.commit(
         txn,
         Use.RENEWAL,
         r -> {
           switch (r.how()) {
-            case DONE -> won(newTerm, r.revision(), newHold, sentAt);
-            case UNKNOWN -> resolve(newTerm, newHold, sentAt);
+            case DONE -> won(newTerm, r.revision(), newHold, sentAt, ours);
+            case UNKNOWN -> resolve(newTerm, newHold, sentAt, ours);
             default -> {
               trying = false;
               state.endHold(newHold, x -> {});
@@ -197,7 +303,7 @@
   }
 
   /** The answer was lost: the record tells, as long as the hold lives. */
-  private void resolve(long newTerm, long newHold, double sentAt) {
+  private void resolve(long newTerm, long newHold, double sentAt, boolean ours) {
     if (loop.now() > sentAt + holdS) {
       trying = false;
       again();
@@ -212,7 +318,7 @@
             if (o.member().equals(member)
                 && o.term() == newTerm
                 && r.body().path("permit").asLong() == newHold) {
-              won(newTerm, r.body().path("mark").asLong(), newHold, sentAt);
+              won(newTerm, r.body().path("mark").asLong(), newHold, sentAt, ours);
               return;
             }
           }
@@ -222,13 +328,19 @@
             state.endHold(newHold, x -> {});
             again();
           } else {
-            loop.after(Constants.TAKEOVER_RETRY_S, () -> resolve(newTerm, newHold, sentAt));
+            loop.after(Constants.TAKEOVER_RETRY_S, () -> resolve(newTerm, newHold, sentAt, ours));
           }
         });
   }
 
-  private void won(long newTerm, long mark, long newHold, double sentAt) {
+  private void won(long newTerm, long mark, long newHold, double sentAt, boolean ours) {
     trying = false;
+    if (loop.now() < barredUntil(ours)) {
+      // Promised meanwhile: the peer may still speak for the controllers.
+      state.endHold(newHold, x -> {});
+      again();
+      return;
+    }
     owner = true;
     term = newTerm;
     ownerMark = mark;
@@ -263,9 +375,15 @@
           }
           if (r.done()) {
             counted(sentAt);
+            failingSince = Double.NaN;
           } else if (r.how() == StateClient.How.ABSENT) {
             lose("the hold is over");
             return;
+          } else if (Double.isNaN(failingSince)) {
+            failingSince = sentAt;
+            if (!asking) {
+              askPeers();
+            }
           }
           renewLater();
         });
@@ -287,7 +405,7 @@
         new StateClient.Txn()
             .when(StateCodec.OWNER, ownerMark)
             .when(StateCodec.TERM, cache.termMark())
-            .put(StateCodec.TERM, StateCodec.term(newTerm))
+            .put(StateCodec.TERM, StateCodec.term(newTerm, member))
             .put(StateCodec.OWNER, StateCodec.owner(me), hold);
     state.commit(txn, Use.RENEWAL, r -> raised(newTerm, r, done));
   }
@@ -324,6 +442,8 @@
   private void lose(String why) {
     owner = false;
     heldUntil = Double.NEGATIVE_INFINITY;
+    promised.clear();
+    failingSince = Double.NaN;
     if (renewal != null) {
       renewal.cancel();
     }
@@ -334,7 +454,7 @@
 
   /** Looks at our own entitlement; to be called now and then. */
   public void tick() {
-    if (owner && loop.now() >= heldUntil) {
+    if (owner && !entitled()) {
       lose("the hold could not be renewed in time");
     }
   }
--- /dev/null
+++ b/src/main/java/graderelay/wire/MeshCodec.java
@@ -0,0 +1,77 @@
+package graderelay.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import graderelay.net.Exchange.Answer;
+import java.io.IOException;
+
+/** What passes between controllers. */
+public final class MeshCodec {
+  public static final String PROMISE = "promise";
+  public static final String HANDOVER = "handover";
+  public static final String REPORT = "report";
+  public static final String USER = "user";
+
+  private MeshCodec() {}
+
+  public static String kind(JsonNode n) {
+    return n == null ? "" : n.path("kind").asText();
+  }
+
+  /** Asks a peer not to take over for a while. */
+  public static ObjectNode promise(String member, long term, double seconds) {
+    return Json.object()
+        .put("kind", PROMISE)
+        .put("member", member)
+        .put("term", term)
+        .put("seconds", seconds);
+  }
+
+  /** {@code reaches}: the peer has the state service's ear while the asker has not. */
+  public static ObjectNode promised(boolean granted, boolean reaches) {
+    return Json.object().put("granted", granted).put("reaches", reaches);
+  }
+
+  /** Leaves the fleet to a peer: the sender has stopped, and this hold can be ended. */
+  public static ObjectNode handover(String member, long term, long hold) {
+    return Json.object()
+        .put("kind", HANDOVER)
+        .put("member", member)
+        .put("term", term)
+        .put("hold", hold);
+  }
+
+  /** Passes a request on. */
+  public static ObjectNode request(String kind, String method, String path, byte[] body) {
+    return Json.object()
+        .put("kind", kind)
+        .put("method", method)
+        .put("path", path)
+        .put("body", body);
+  }
+
+  public static ObjectNode answer(Answer a) {
+    return Json.object()
+        .put("status", a.status())
+        .put("body", a.body())
+        .put("retry", a.retryAfterS());
+  }
+
+  /** The answer to a request that was passed on, or null. */
+  public static Answer answer(JsonNode n) {
+    if (n == null || !n.path("status").isInt()) {
+      return null;
+    }
+    return new Answer(
+        n.get("status").asInt(), bytes(n), "application/json", n.path("retry").asInt(), false);
+  }
+
+  public static byte[] bytes(JsonNode n) {
+    try {
+      byte[] b = n.path("body").binaryValue();
+      return b == null ? new byte[0] : b;
+    } catch (IOException e) {
+      return new byte[0];
+    }
+  }
+}
--- a/src/main/java/graderelay/wire/StateCodec.java
+++ b/src/main/java/graderelay/wire/StateCodec.java
@@ -58,8 +58,9 @@
     return new Owner(n.path("member").asText(), n.path("term").asLong(), n.path("mesh").asText());
   }
 
-  public static ObjectNode term(long term) {
-    return Json.object().put("term", term);
+  /** The counter of terms, and who won the last one. */
+  public static ObjectNode term(long term, String member) {
+    return Json.object().put("term", term).put("member", member);
   }
 
   /** A job's record: its terms, and whether its user asked to stop it. */
--- a/src/main/java/graderelay/worker/WorkerApi.java
+++ b/src/main/java/graderelay/worker/WorkerApi.java
@@ -2,28 +2,48 @@
 
 import graderelay.core.Order;
 import graderelay.core.Report;
+import graderelay.mesh.MeshClient;
 import graderelay.net.Exchange;
 import graderelay.net.Exchange.Answer;
+import graderelay.net.Loop;
 import graderelay.service.Constants;
 import graderelay.state.Cache;
 import graderelay.state.Ownership;
 import graderelay.wire.Json;
+import graderelay.wire.MeshCodec;
 import graderelay.wire.StateCodec;
 import graderelay.wire.WorkerCodec;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 /**
- * Takes workers' reports: answered by the owner while it holds the fleet, pointed there by others.
+ * Takes workers' reports: the owner answers them while it holds the fleet, the others point to it.
+ * A worker that comes back after that can't reach the owner; its reports are passed on, so that a
+ * cut between the two doesn't cost it its lease.
  */
 public final class WorkerApi {
+  private record Pointed(double at, double relayedSince) {}
+
+  private final Loop loop;
   private final Ownership ownership;
   private final Cache cache;
+  private final MeshClient mesh;
   private final Function<Report, List<Order>> fleet;
+  private final Map<String, Pointed> pointed = new LinkedHashMap<>();
 
-  public WorkerApi(Ownership ownership, Cache cache, Function<Report, List<Order>> fleet) {
+  public WorkerApi(
+      Loop loop,
+      Ownership ownership,
+      Cache cache,
+      MeshClient mesh,
+      Function<Report, List<Order>> fleet) {
+    this.loop = loop;
     this.ownership = ownership;
     this.cache = cache;
+    this.mesh = mesh;
     this.fleet = fleet;
   }
 
@@ -33,14 +53,64 @@
       e.to().accept(Answer.json(400, Json.error("not a report")));
       return;
     }
+    if (ownership.owner()) {
+      answer(r, e.to());
+      return;
+    }
+    StateCodec.Owner o = cache.owner();
+    String address = o == null ? null : mesh.addressOf(o.member());
+    Pointed p = pointed.remove(r.machine());
+    double now = loop.now();
+    boolean back = p != null && now - p.at() < Constants.RELAY_MEMORY_S;
+    boolean longEnough = back && now - p.relayedSince() > Constants.RELAY_FOR_S;
+    if (address == null || !back || longEnough) {
+      if (address != null) {
+        pointed.put(r.machine(), new Pointed(now, Double.POSITIVE_INFINITY));
+      }
+      elsewhere(e.to(), o == null ? null : o.member());
+      return;
+    }
+    pointed.put(r.machine(), new Pointed(now, Math.min(now, p.relayedSince())));
+    if (pointed.size() > Constants.MOST_POINTED) {
+      pointed.remove(pointed.keySet().iterator().next());
+    }
+    mesh.send(
+        address,
+        MeshCodec.request(MeshCodec.REPORT, "POST", "/checkin", e.body()),
+        mesh.timeoutS(),
+        n -> {
+          Answer a = MeshCodec.answer(n);
+          if (a != null && a.status() == 200) {
+            e.to().accept(a);
+          } else {
+            elsewhere(e.to(), o.member());
+          }
+        });
+  }
+
+  /** A report that another controller passes on. */
+  public void relayed(byte[] body, Consumer<Answer> to) {
+    Report r = WorkerCodec.report(Json.read(body));
+    if (r == null) {
+      to.accept(Answer.json(400, Json.error("not a report")));
+    } else {
+      answer(r, to);
+    }
+  }
+
+  private void answer(Report r, Consumer<Answer> to) {
     List<Order> orders = ownership.entitled() ? fleet.apply(r) : null;
     if (orders == null) {
-      StateCodec.Owner o = cache.owner();
-      String at = ownership.owner() || o == null ? null : o.member();
-      e.to().accept(Answer.json(421, Json.write(WorkerCodec.elsewhere(at))));
+      elsewhere(to, null);
       return;
     }
-    byte[] body = Json.write(WorkerCodec.response(ownership.term(), orders, Constants.MOST_ORDERS));
-    e.to().accept(Answer.json(200, body));
+    to.accept(
+        Answer.json(
+            200,
+            Json.write(WorkerCodec.response(ownership.term(), orders, Constants.MOST_ORDERS))));
+  }
+
+  private static void elsewhere(Consumer<Answer> to, String member) {
+    to.accept(Answer.json(421, Json.write(WorkerCodec.elsewhere(member))));
   }
 }
--- a/src/test/java/graderelay/sim/Rules.java
+++ b/src/test/java/graderelay/sim/Rules.java
@@ -14,6 +14,11 @@
 public final class Rules {
   /** What a job's user knows and asked for. */
   public static final class Known {
+    /** The newest that its user was told: empty, accepted, done or cancelled. */
+    String knew() {
+      return lastStage.isEmpty() && accepted ? "accepted" : lastStage;
+    }
+
     public final String id;
     final int tasks;
     final double cpus;
@@ -132,10 +137,11 @@
    * two requests that cross, either may be answered first.
    */
   void told(Known j, int status, String stage, boolean submission, String knew) {
-    if (status == 404 && j.accepted) {
+    boolean accepted = !knew.isEmpty();
+    if (status == 404 && accepted) {
       breaks("forgotten " + j.id);
     }
-    if (submission && j.accepted && (status == 400 || status == 422)) {
+    if (submission && accepted && (status == 400 || status == 422)) {
       breaks("forgotten " + j.id + ": " + status);
     }
     if (status != 200 && status != 201) {
--- a/src/test/java/graderelay/sim/SimWorld.java
+++ b/src/test/java/graderelay/sim/SimWorld.java
@@ -179,7 +179,7 @@
   }
 
   private void submit(int node, Rules.Known k, int tries) {
-    String knew = k.lastStage;
+    String knew = k.knew();
     ask(
         node,
         "POST",
@@ -197,7 +197,7 @@
 
   /** Cancels until it is confirmed. */
   public void cancel(int node, Rules.Known k) {
-    String knew = k.lastStage;
+    String knew = k.knew();
     ask(
         node,
         "POST",
@@ -217,7 +217,7 @@
   }
 
   public void poll(int node, Rules.Known k) {
-    String knew = k.lastStage;
+    String knew = k.knew();
     ask(
         node,
         "GET",
