--- a/src/main/java/graderelay/cli/Serve.java
+++ b/src/main/java/graderelay/cli/Serve.java
@@ -24,6 +24,11 @@
 
   @Override
   public Integer call() {
+    return run(file);
+  }
+
+  /** Runs a controller with the settings of a file; the exit code, or that it goes on. */
+  static int run(String file) {
     Settings s;
     try {
       s = Settings.load(file);
@@ -31,11 +36,11 @@
       System.err.println("graderelay: " + file + ": " + e.getMessage());
       return Main.USAGE;
     }
-    return run(s) ? RUNNING : Main.FAILED;
+    return start(s) ? RUNNING : Main.FAILED;
   }
 
   /** Starts a node on its sockets; false if an address can't be had. */
-  static boolean run(Settings s) {
+  private static boolean start(Settings s) {
     var group = new NioEventLoopGroup(1);
     var loop = group.next();
     var clock = new NettyLoop(loop);
