--- a/src/main/java/graderelay/cli/Main.java
+++ b/src/main/java/graderelay/cli/Main.java
@@ -29,7 +29,8 @@
         level == null || level.isBlank() ? "info" : level);
     System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
     System.setProperty("org.slf4j.simpleLogger.log.io.netty", "warn");
-    // The platform's own call goes straight to work: the argument parser's classes can't be archived
+    // The platform's own call goes straight to work: the argument parser's classes can't be
+    // archived
     // and would cost every restart a good part of a second of a small machine.
     boolean plain = args.length == 3 && args[0].equals("serve") && args[1].equals("--config");
     int code = plain ? Serve.run(args[2]) : new CommandLine(new Main()).execute(args);
--- a/src/main/java/graderelay/core/Claim.java
+++ b/src/main/java/graderelay/core/Claim.java
@@ -56,6 +56,9 @@
   Report.Stage stage;
   double stageSince;
 
+  /** When a report first showed it running, 0 before that. */
+  double runningSince;
+
   /** Told to stop, by us, for a reason other than its user's cancellation. */
   boolean stopAsked;
 
--- /dev/null
+++ b/src/main/java/graderelay/core/Deadlines.java
@@ -0,0 +1,90 @@
+package graderelay.core;
+
+import graderelay.service.Constants;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * How many CPUs the arrays need to be in time: work by deadline, summed up, over the time that is
+ * left. Owners' estimates are often wrong, on some days all in one way, so they are corrected by
+ * what tasks of the class really took.
+ */
+final class Deadlines {
+  private static final class Ratio {
+    double sum = 1;
+    double count = 1;
+  }
+
+  private record Due(double at, double work, double estimate) {}
+
+  private final World world;
+  private final Map<String, Ratio> ratios = new HashMap<>();
+
+  Deadlines(World world) {
+    this.world = world;
+  }
+
+  /** A task has run to its end in so many seconds. */
+  void onRan(JobSpec spec, double seconds) {
+    if (spec.estimateS() <= 0) {
+      return;
+    }
+    Ratio r = ratios.computeIfAbsent(spec.jobClass(), c -> new Ratio());
+    // Older ones fade, so that a change of habit shows.
+    r.sum = r.sum * Constants.RATIO_MEMORY + Math.min(4, seconds / spec.estimateS());
+    r.count = r.count * Constants.RATIO_MEMORY + 1;
+  }
+
+  /** Expected run time of a task. */
+  double estimate(JobSpec s) {
+    Ratio r = ratios.get(s.jobClass());
+    double e = s.estimateS() > 0 ? s.estimateS() : Constants.UNKNOWN_RUN_S;
+    return r == null ? e : e * r.sum / r.count;
+  }
+
+  /** True if the job may wait for cheap machines as long as its deadline is kept. */
+  boolean patient(JobSpec s) {
+    return !s.isService()
+        && s.spot()
+        && s.deadlineS() != null
+        && !world.policy.waits().containsKey(s.jobClass());
+  }
+
+  /**
+   * CPUs with which all patient work would be in time. A job that can't be in time any more adds
+   * its work but no hurry.
+   */
+  double neededCpus(double now) {
+    double running = 0;
+    List<Due> dues = new ArrayList<>();
+    for (Job j : world.jobs.values()) {
+      JobSpec s = j.spec;
+      if (!patient(s) || j.stop) {
+        continue;
+      }
+      double estimate = estimate(s);
+      double work = j.open.cardinality() * estimate * s.cpus();
+      for (Claim c : j.claims.values()) {
+        double ran = c.runningSince > 0 ? now - c.runningSince : 0;
+        work += Math.max(estimate - ran, estimate * 0.25) * s.cpus();
+      }
+      running += j.claims.size() * s.cpus();
+      dues.add(new Due(j.submittedAt + s.deadlineS(), work, estimate));
+    }
+    dues.sort(Comparator.comparingDouble(Due::at));
+    double sum = 0;
+    double need = 0;
+    for (Due d : dues) {
+      sum += d.work();
+      // The last wave of tasks has to start this long before the deadline.
+      double slack = d.at() - now - d.estimate() * 0.5 - Constants.DEADLINE_MARGIN_S;
+      if (slack > d.estimate() * 0.5) {
+        need = Math.max(need, sum / slack);
+      }
+    }
+    return Math.max(need, Math.min(running, sum / Constants.PATIENT_S)) / Constants.PACKING;
+  }
+}
--- a/src/main/java/graderelay/core/FleetPlanner.java
+++ b/src/main/java/graderelay/core/FleetPlanner.java
@@ -2,6 +2,7 @@
 
 import graderelay.service.Constants;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -52,8 +53,12 @@
   private long nextHire = 1;
   private final double startedAt;
 
+  private final Deadlines deadlines;
+  private double lastMove = Double.NEGATIVE_INFINITY;
+
   FleetPlanner(World world, double now) {
     this.world = world;
+    this.deadlines = new Deadlines(world);
     this.startedAt = now;
   }
 
@@ -61,6 +66,10 @@
     arrivals.add(new Arrival(at, spec));
   }
 
+  void onRan(JobSpec spec, double seconds) {
+    deadlines.onRan(spec, seconds);
+  }
+
   void onHired(long id, List<String> names, boolean noCapacity, double now) {
     Hiring h = hiring.remove(id);
     if (h == null) {
@@ -108,6 +117,9 @@
         bins.add(new Bin(null, h.pool, Room.of(world.types.get(h.pool.type()))));
       }
     }
+    double needed = deadlines.neededCpus(now);
+    double there = cpusForArrays(bins);
+    dearCpus = Math.max(0, needed - there);
     Map<Pool, Integer> wanted = new HashMap<>();
     for (Job j : world.jobs.values()) {
       if (j.waiting()) {
@@ -115,10 +127,11 @@
         fill(j.spec, n, bins, wanted, now);
       }
     }
-    Set<Machine> needed = new HashSet<>();
+    Set<Machine> keep = new HashSet<>();
     for (var e : spare(now).entrySet()) {
-      spareFill(e.getKey(), e.getValue(), bins, wanted, needed, now);
+      spareFill(e.getKey(), e.getValue(), bins, wanted, keep, now);
     }
+    close(there - needed, keep, now);
     for (var e : wanted.entrySet()) {
       int n = Math.min(Constants.MOST_HIRED, e.getValue());
       long id = nextHire++;
@@ -126,7 +139,172 @@
       Pool p = e.getKey();
       world.out.add(new Action.Hire(id, p.type(), p.zone(), p.spot(), n));
     }
-    giveBack(needed, now);
+    giveBack(keep, now);
+  }
+
+  /** Ordinary CPUs that may still be rented for work that could use spot machines. */
+  private double dearCpus;
+
+  /** What arrays can have of the machines that are there or coming: all but services' share. */
+  private double cpusForArrays(List<Bin> bins) {
+    double sum = 0;
+    for (Bin b : bins) {
+      MachineType t = world.types.get(b.pool.type());
+      if (t == null || (b.machine != null && b.machine.closing)) {
+        continue;
+      }
+      sum += t.cpus();
+      if (b.machine != null) {
+        for (Claim c : b.machine.claims.values()) {
+          sum -= c.job.spec.isService() ? c.job.spec.cpus() : 0;
+        }
+      }
+    }
+    return sum;
+  }
+
+  /**
+   * Empties ordinary machines that deadlines don't need: the dearest first, arrays by waiting for
+   * their end, and services by moving them one at a time to where there is room and their image.
+   */
+  private void close(double surplus, Set<Machine> keep, double now) {
+    if (world.jobs.values().stream().anyMatch(j -> impatient(j.spec))) {
+      world.machines.values().forEach(m -> m.closing = false);
+      return;
+    }
+    List<Machine> ordinary = new ArrayList<>();
+    for (Machine m : world.machines.values()) {
+      if (m.reported
+          && !m.spot
+          && !m.leaseOver
+          && !m.returning
+          && world.types.containsKey(m.type)) {
+        ordinary.add(m);
+      }
+    }
+    double left = surplus;
+    for (Machine m : ordinary) {
+      if (m.closing && left < 0) {
+        m.closing = false;
+        left += m.room.cpus();
+      }
+    }
+    ordinary.sort(Comparator.comparingDouble(m -> -wasted(m)));
+    for (Machine m : ordinary) {
+      if (m.closing || keep.contains(m) || now - m.rentedAt < Constants.CHARGED_AT_LEAST_S) {
+        continue;
+      }
+      double forArrays = m.room.cpus() - serviceCpus(m);
+      boolean enough = left - forArrays > Constants.CLOSE_SLACK * forArrays;
+      if (enough && movable(m, ordinary, now)) {
+        m.closing = true;
+        left -= forArrays;
+        world.note("closing " + m.name + ": its work fits on cheaper machines");
+        break; // One at a time, so that the next plan sees what came of it.
+      }
+    }
+    moveOne(ordinary, now);
+  }
+
+  private boolean impatient(JobSpec s) {
+    return !s.isService() && !deadlines.patient(s);
+  }
+
+  private static double serviceCpus(Machine m) {
+    double sum = 0;
+    for (Claim c : m.claims.values()) {
+      sum += c.job.spec.isService() ? c.job.spec.cpus() : 0;
+    }
+    return sum;
+  }
+
+  /** Money an hour that the machine costs beyond what its services would cost elsewhere. */
+  private double wasted(Machine m) {
+    MachineType t = world.types.get(m.type);
+    return t.price() * (1 - serviceCpus(m) / t.cpus());
+  }
+
+  /** True if the machine's services fit on the other ordinary machines that stay. */
+  private boolean movable(Machine m, List<Machine> ordinary, double now) {
+    if (serviceCpus(m) > Constants.MOVE_SHARE * m.room.cpus()) {
+      return false;
+    }
+    Map<Machine, Room> free = new HashMap<>();
+    for (Machine o : ordinary) {
+      if (o != m && !o.closing && world.usable(o, now)) {
+        free.put(o, o.room.minus(servicesOn(o)));
+      }
+    }
+    for (Claim c : m.claims.values()) {
+      if (!c.job.spec.isService()) {
+        continue;
+      }
+      Machine to = null;
+      for (var e : free.entrySet()) {
+        if (e.getValue().holds(c.room()) && goodTarget(c, e.getKey())) {
+          to = e.getKey();
+          break;
+        }
+      }
+      if (to == null) {
+        return false;
+      }
+      free.merge(to, c.room(), Room::minus);
+    }
+    return true;
+  }
+
+  private static Room servicesOn(Machine m) {
+    Room r = Room.NONE;
+    for (Claim c : m.claims.values()) {
+      r = c.job.spec.isService() ? r.plus(c.room()) : r;
+    }
+    return r;
+  }
+
+  /** Zone rules make moves of some services delicate; those stay where they are. */
+  private boolean goodTarget(Claim c, Machine to) {
+    JobSpec s = c.job.spec;
+    return to.warm(s.image())
+        && (s.types() == null || s.types().contains(to.type))
+        && (s.zone() == null || s.zone().equals(to.zone))
+        && !s.oneZone()
+        && (!s.spread() || s.tasks() == 1);
+  }
+
+  private void moveOne(List<Machine> ordinary, double now) {
+    if (now - lastMove < Constants.MOVE_EVERY_S) {
+      return;
+    }
+    for (Machine m : ordinary) {
+      if (!m.closing) {
+        continue;
+      }
+      for (Claim c : m.claims.values()) {
+        boolean settled =
+            c.phase == Claim.Phase.HELD
+                && !c.stopAsked
+                && c.job.spec.isService()
+                && c.runningSince > 0
+                && now - c.runningSince > Constants.CHARGED_AT_LEAST_S;
+        if (!settled) {
+          continue;
+        }
+        for (Machine to : ordinary) {
+          if (to != m
+              && !to.closing
+              && world.usable(to, now)
+              && to.free().holds(c.room())
+              && goodTarget(c, to)) {
+            c.stopAsked = true;
+            c.stopAskedAt = now;
+            lastMove = now;
+            world.note("move " + c.taskId() + " off " + m.name);
+            return;
+          }
+        }
+      }
+    }
   }
 
   private int withinLimit(JobSpec s) {
@@ -160,10 +338,14 @@
       left -= k;
     }
     while (left > 0) {
-      Pool p = cheapest(s, left, now);
+      boolean patient = deadlines.patient(s);
+      Pool p = cheapest(s, left, patient && dearCpus <= 0, now);
       if (p == null) {
         return;
       }
+      if (patient) {
+        dearCpus -= world.types.get(p.type()).cpus();
+      }
       Room room = Room.of(world.types.get(p.type()));
       int k = Math.min(left, room.times(need));
       bins.add(new Bin(null, p, less(room, need, k)));
@@ -206,7 +388,7 @@
   }
 
   /** The pool with the least price for each task that it would really hold. */
-  private Pool cheapest(JobSpec s, int left, double now) {
+  private Pool cheapest(JobSpec s, int left, boolean spotOnly, double now) {
     Pool best = null;
     double bestPrice = Double.MAX_VALUE;
     for (MachineType t : world.types.values()) {
@@ -219,6 +401,7 @@
           Pool p = new Pool(t.name(), zone, spot);
           Refusal r = refused.get(p);
           if (!suits(s, p)
+              || (spotOnly && !spot && spotExists(t))
               || (spot && !world.policy.tuning().spotAllowed())
               || (r != null && now < r.until)) {
             continue;
@@ -234,6 +417,11 @@
     return best;
   }
 
+  /** A type without a spot price can't be waited for. */
+  private boolean spotExists(MachineType t) {
+    return t.spotPrice() > 0 && world.policy.tuning().spotAllowed();
+  }
+
   /**
    * Room to keep free: for each class that should start sooner than a machine boots, what arrived
    * within a boot time on average, and at least one job of the largest usual size.
@@ -322,6 +510,9 @@
     if (needed.contains(m) || m.cordoned) {
       return null;
     }
+    if (m.closing) {
+      return "its work went to cheaper machines";
+    }
     double idle = world.policy.tuning().idleS();
     return now - m.idleSince > idle && now - m.knownSince > idle ? "idle" : null;
   }
--- a/src/main/java/graderelay/core/Job.java
+++ b/src/main/java/graderelay/core/Job.java
@@ -47,6 +47,9 @@
 
   int doneCount;
 
+  /** When its user submitted it, on our steady clock. */
+  double submittedAt;
+
   /** When the queue's head began to wait; for fairness and for the operator's question why. */
   double waitingSince;
 
--- a/src/main/java/graderelay/core/Machine.java
+++ b/src/main/java/graderelay/core/Machine.java
@@ -49,6 +49,9 @@
   final Set<String> errorJobs = new HashSet<>();
   double quarantineUntil = Double.NEGATIVE_INFINITY;
 
+  /** Being emptied, since cheaper machines have room for what it does. */
+  boolean closing;
+
   /** Tasks of several jobs failed here; to be replaced once empty. */
   boolean bad;
 
--- a/src/main/java/graderelay/core/Placer.java
+++ b/src/main/java/graderelay/core/Placer.java
@@ -134,6 +134,7 @@
     return (s.types() == null || s.types().contains(m.type))
         && (s.zone() == null || s.zone().equals(m.zone))
         && (s.spot() || !m.spot)
+        && !m.closing
         && !j.errorMachines.contains(m.name);
   }
 
--- a/src/main/java/graderelay/core/Scheduler.java
+++ b/src/main/java/graderelay/core/Scheduler.java
@@ -89,6 +89,7 @@
     Job j = world.jobs.get(spec.id());
     if (j == null) {
       j = new Job(spec, mark, stop, now);
+      j.submittedAt = submittedAt;
       world.jobs.put(spec.id(), j);
       planner.onArrival(spec, submittedAt);
       // Slices that came first, while the job's own record had not been seen yet.
@@ -269,6 +270,9 @@
       if (c.stage != e.stage()) {
         c.stage = e.stage();
         c.stageSince = now;
+        if (e.stage() == Report.Stage.RUNNING && c.runningSince == 0) {
+          c.runningSince = now;
+        }
       }
       if (e.stage() == Report.Stage.EXITED) {
         exited(m, c, e, now);
@@ -324,6 +328,9 @@
       case "done" -> {
         m.errorStreak = 0;
         m.errorJobs.clear();
+        if (c.runningSince > 0) {
+          planner.onRan(j.spec, now - c.runningSince);
+        }
         end(c, true, now);
       }
       case "error" -> {
@@ -728,6 +735,16 @@
               && now - m.lastReport <= world.policy.reportS() * Constants.SILENT_REPORTS
               && !m.leaseOver;
       if (near && launchable(m, c) && c.launch == Claim.Launch.NONE) {
+        world.note(
+            "start "
+                + c.taskId()
+                + " attempt "
+                + c.attempt
+                + " on "
+                + m.name
+                + " with term "
+                + term
+                + (m.warm(c.job.spec.image()) ? "" : ", image to be fetched"));
         c.launch = Claim.Launch.DIRECT;
         c.launchTerm = term;
         c.launchAt = now;
--- a/src/main/java/graderelay/service/Constants.java
+++ b/src/main/java/graderelay/service/Constants.java
@@ -84,6 +84,33 @@
   /** Times the spare room that arrivals of the last minutes suggest. */
   public static final double SPARE_FACTOR = 1.0;
 
+  /** Share of the weight that older run times keep with each new one. */
+  public static final double RATIO_MEMORY = 0.98;
+
+  /** Seconds that a task without an estimate is taken to run. */
+  public static final double UNKNOWN_RUN_S = 60;
+
+  /** Seconds before a deadline at which work should be done: fetches, reports and the poll. */
+  public static final double DEADLINE_MARGIN_S = 8;
+
+  /** Share of the rented CPUs that tasks of uneven size can fill. */
+  public static final double PACKING = 0.85;
+
+  /** Seconds in which running work is counted at most when nothing presses. */
+  public static final double PATIENT_S = 60;
+
+  /** Seconds that a machine is charged at least; before that there is nothing to save. */
+  public static final double CHARGED_AT_LEAST_S = 60;
+
+  /** Share of a machine's own size that must be left over when it is closed: no to and fro. */
+  public static final double CLOSE_SLACK = 0.5;
+
+  /** Share of a machine up to which services are moved off it. */
+  public static final double MOVE_SHARE = 0.5;
+
+  /** Seconds between moves of replicas, each of which is away for a moment. */
+  public static final double MOVE_EVERY_S = 2;
+
   /** Seconds; first pause after the cloud called a pool empty. */
   public static final double EMPTY_POOL_PAUSE_S = 6;
 
