--- a/src/main/java/graderelay/core/Placer.java
+++ b/src/main/java/graderelay/core/Placer.java
@@ -112,6 +112,10 @@
       }
       fit.removeIf(m -> !m.free().holds(need));
       Machine m = pick(j, fit);
+      if (m != null && !m.warm(j.spec.image()) && warmRoomCanBeMade(j, need, usable, now)) {
+        j.waitReason = "room is being made where its image is";
+        return;
+      }
       if (m == null) {
         j.waitReason = usable.isEmpty() ? "no machine reports" : "no room on an allowed machine";
         return;
@@ -128,6 +132,43 @@
     }
   }
 
+  /**
+   * True if the job should start sooner than its image can be fetched, and work that it may stop
+   * stands on a machine that has the image. Only for a moment: after that any room will do.
+   */
+  private boolean warmRoomCanBeMade(Job j, Room need, List<Machine> usable, double now) {
+    Double wait = world.policy.waits().get(j.spec.jobClass());
+    if (wait == null || now - j.waitingSince > wait) {
+      return false;
+    }
+    for (Machine m : usable) {
+      MachineType t = world.types.get(m.type);
+      if (t != null
+          && t.fetchGbPerS() > 0
+          && j.spec.imageGb() / t.fetchGbPerS() > wait
+          && m.warm(j.spec.image())
+          && allowed(j, m)
+          && zoneAllowed(j, m.zone)
+          && canMakeRoom(j, m, need)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** True if room is on its way on the machine, or can be made at little loss. */
+  private static boolean canMakeRoom(Job j, Machine m, Room need) {
+    Room room = m.free();
+    for (Claim c : m.claims.values()) {
+      boolean comes = c.stopAsked || c.phase == Claim.Phase.SETTLING;
+      boolean lower = c.phase == Claim.Phase.HELD && j.spec.priority().beats(c.job.spec.priority());
+      if (comes || lower) {
+        room = room.plus(c.room());
+      }
+    }
+    return room.holds(need);
+  }
+
   /** The static part of what a job allows. */
   boolean allowed(Job j, Machine m) {
     JobSpec s = j.spec;
