--- a/src/main/java/graderelay/core/Deadlines.java
+++ b/src/main/java/graderelay/core/Deadlines.java
@@ -54,18 +54,10 @@
   }
 
   /**
-   * What deadlines ask for.
-   *
-   * @param keep CPUs with which all patient work would be in time
-   * @param more CPUs to add to those that are there, which only help once they have booted
+   * CPUs with which all patient work would be in time. A job that can't be in time any more adds
+   * its work but no hurry.
    */
-  record Need(double keep, double more) {}
-
-  /**
-   * Sums up the work by deadline. A job that can't be in time any more adds its work but no hurry,
-   * and one that would be late before a machine boots is no reason to rent one.
-   */
-  Need need(double there, double bootS, double now) {
+  double neededCpus(double now) {
     double running = 0;
     List<Due> dues = new ArrayList<>();
     for (Job j : world.jobs.values()) {
@@ -84,21 +76,15 @@
     }
     dues.sort(Comparator.comparingDouble(Due::at));
     double sum = 0;
-    double keep = 0;
-    double more = 0;
+    double need = 0;
     for (Due d : dues) {
-      sum += d.work() / Constants.PACKING;
-      // The last wave of tasks has to start half a run before the deadline.
+      sum += d.work();
+      // The last wave of tasks has to start this long before the deadline.
       double slack = d.at() - now - d.estimate() * 0.5 - Constants.DEADLINE_MARGIN_S;
       if (slack > d.estimate() * 0.5) {
-        keep = Math.max(keep, sum / slack);
-      }
-      double afterBoot = slack - bootS;
-      if (afterBoot > d.estimate() * 0.5) {
-        more = Math.max(more, (sum - there * slack) / afterBoot);
+        need = Math.max(need, sum / slack);
       }
     }
-    keep = Math.max(keep, Math.min(running, sum / Constants.PATIENT_S));
-    return new Need(keep, more);
+    return Math.max(need, Math.min(running, sum / Constants.PATIENT_S)) / Constants.PACKING;
   }
 }
--- a/src/main/java/graderelay/core/FleetPlanner.java
+++ b/src/main/java/graderelay/core/FleetPlanner.java
@@ -117,9 +117,9 @@
         bins.add(new Bin(null, h.pool, Room.of(world.types.get(h.pool.type()))));
       }
     }
+    double needed = deadlines.neededCpus(now);
     double there = cpusForArrays(bins);
-    Deadlines.Need need = deadlines.need(there, longestBoot(), now);
-    dearCpus = need.more();
+    dearCpus = Math.max(0, needed - there);
     Map<Pool, Integer> wanted = new HashMap<>();
     for (Job j : world.jobs.values()) {
       if (j.waiting()) {
@@ -131,7 +131,7 @@
     for (var e : spare(now).entrySet()) {
       spareFill(e.getKey(), e.getValue(), bins, wanted, keep, now);
     }
-    close(there - need.keep(), keep, now);
+    close(there - needed, keep, now);
     for (var e : wanted.entrySet()) {
       int n = Math.min(Constants.MOST_HIRED, e.getValue());
       long id = nextHire++;
@@ -142,14 +142,6 @@
     giveBack(keep, now);
   }
 
-  private double longestBoot() {
-    double boot = 0;
-    for (MachineType t : world.types.values()) {
-      boot = Math.max(boot, t.bootS());
-    }
-    return boot;
-  }
-
   /** Ordinary CPUs that may still be rented for work that could use spot machines. */
   private double dearCpus;
 
@@ -439,7 +431,10 @@
     for (Arrival a : arrivals) {
       byClass.computeIfAbsent(a.spec().jobClass(), c -> new ArrayList<>()).add(a);
     }
-    double boot = longestBoot();
+    double boot = 0;
+    for (MachineType t : world.types.values()) {
+      boot = Math.max(boot, t.bootS());
+    }
     Map<JobSpec, Integer> spare = new HashMap<>();
     for (var e : byClass.entrySet()) {
       Double wait = world.policy.waits().get(e.getKey());
