--- a/src/main/java/graderelay/api/UserApi.java
+++ b/src/main/java/graderelay/api/UserApi.java
@@ -215,12 +215,14 @@
           switch (r.how()) {
             case DONE -> {
               LOG.info(
-                  "accepted {}: {} of {}, {} tasks of {} CPUs",
+                  "accepted {}: {} of {}, {} tasks of {} CPUs, estimate {} s, due in {} s",
                   spec.id(),
                   spec.jobClass(),
                   spec.team(),
                   spec.tasks(),
-                  spec.cpus());
+                  spec.cpus(),
+                  spec.estimateS(),
+                  spec.deadlineS());
               p.answer(201, UserCodec.stage(spec.id(), "pending"));
             }
             case CONFLICT -> known(p, spec);
