--- a/src/main/java/graderelay/core/Deadlines.java
+++ b/src/main/java/graderelay/core/Deadlines.java
@@ -4,8 +4,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
 
 /**
  * How many CPUs the arrays need to be in time: work by deadline, summed up, over the time that is
@@ -53,6 +56,76 @@
         && !world.policy.waits().containsKey(s.jobClass());
   }
 
+  private record Part(Job job, double due, double seconds, double estimate) {}
+
+  /**
+   * Jobs that should wait for others of their team, so that as few as possible are late: where a
+   * team's limit or the fleet can't do everything in time, running by deadline alone makes one job
+   * late after the other. By deadline, whenever the sum is too long, the longest steps back.
+   */
+  Set<Job> steppingBack(double fleetCpus, double now) {
+    Map<String, List<Part>> teams = new HashMap<>();
+    Map<String, Double> services = new HashMap<>();
+    for (Job j : world.jobs.values()) {
+      JobSpec s = j.spec;
+      if (s.isService()) {
+        services.merge(s.team(), j.claims.size() * s.cpus(), Double::sum);
+      } else if (s.deadlineS() != null && !j.stop && !j.complete()) {
+        teams.computeIfAbsent(s.team(), t -> new ArrayList<>()).add(part(j, now));
+      }
+    }
+    Set<Job> back = new HashSet<>();
+    for (var e : teams.entrySet()) {
+      Team team = world.policy.team(e.getKey());
+      double rate = fleetCpus;
+      if (team != null && team.cpusMax() > 0) {
+        rate = Math.min(rate, team.cpusMax() - services.getOrDefault(e.getKey(), 0.0));
+      }
+      if (rate > 0) {
+        stepBack(e.getValue(), rate, now, back);
+      }
+    }
+    return back;
+  }
+
+  private Part part(Job j, double now) {
+    double estimate = estimate(j.spec);
+    double due = j.submittedAt + j.spec.deadlineS() - Constants.DEADLINE_MARGIN_S;
+    return new Part(j, due, remaining(j, estimate, now), estimate);
+  }
+
+  private static double remaining(Job j, double estimate, double now) {
+    double work = j.open.cardinality() * estimate * j.spec.cpus();
+    for (Claim c : j.claims.values()) {
+      double ran = c.runningSince > 0 ? now - c.runningSince : 0;
+      work += Math.max(estimate - ran, estimate * 0.25) * j.spec.cpus();
+    }
+    return work;
+  }
+
+  private static void stepBack(List<Part> parts, double rate, double now, Set<Job> back) {
+    parts.sort(Comparator.comparingDouble(Part::due));
+    PriorityQueue<Part> taken =
+        new PriorityQueue<>(Comparator.comparingDouble((Part p) -> -p.seconds()));
+    double work = 0;
+    for (Part p : parts) {
+      double span = p.job().spec.deadlineS();
+      if (now > p.due() + Constants.OVERDUE_SPANS * span) {
+        continue; // Stepped back for long enough: it goes first now.
+      }
+      taken.add(p);
+      work += p.seconds();
+      while (!taken.isEmpty() && now + work / rate + p.estimate() * 0.5 > p.due()) {
+        Part longest = taken.poll();
+        work -= longest.seconds();
+        back.add(longest.job());
+        if (longest == p) {
+          break;
+        }
+      }
+    }
+  }
+
   /**
    * CPUs with which all patient work would be in time. A job that can't be in time any more adds
    * its work but no hurry.
@@ -66,11 +139,7 @@
         continue;
       }
       double estimate = estimate(s);
-      double work = j.open.cardinality() * estimate * s.cpus();
-      for (Claim c : j.claims.values()) {
-        double ran = c.runningSince > 0 ? now - c.runningSince : 0;
-        work += Math.max(estimate - ran, estimate * 0.25) * s.cpus();
-      }
+      double work = remaining(j, estimate, now);
       running += j.claims.size() * s.cpus();
       dues.add(new Due(j.submittedAt + s.deadlineS(), work, estimate));
     }
--- a/src/main/java/graderelay/core/FleetPlanner.java
+++ b/src/main/java/graderelay/core/FleetPlanner.java
@@ -94,6 +94,13 @@
     }
   }
 
+  /** Jobs that step back for others of their team, as of the last plan. */
+  Set<Job> steppingBack() {
+    return stepBack;
+  }
+
+  private Set<Job> stepBack = Set.of();
+
   void plan(double now) {
     if (world.types.isEmpty()) {
       return;
@@ -119,6 +126,7 @@
     }
     double needed = deadlines.neededCpus(now);
     double there = cpusForArrays(bins);
+    stepBack = deadlines.steppingBack(there, now);
     dearCpus = Math.max(0, needed - there);
     Map<Pool, Integer> wanted = new HashMap<>();
     for (Job j : world.jobs.values()) {
--- a/src/main/java/graderelay/core/Placer.java
+++ b/src/main/java/graderelay/core/Placer.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 /**
@@ -17,6 +18,9 @@
   private final RandomGenerator random;
 
   /** What each team is about to lose already, so that nobody is pushed below its guarantee. */
+  /** Jobs that wait for others of their team, see {@link Deadlines}. */
+  private Set<Job> stepBack = Set.of();
+
   private final Map<String, Room> stopping = new HashMap<>();
 
   Placer(World world, RandomGenerator random) {
@@ -24,6 +28,10 @@
     this.random = random;
   }
 
+  void stepBack(Set<Job> jobs) {
+    stepBack = jobs;
+  }
+
   /** Places what can be placed and returns the new claims, counted but not committed yet. */
   List<Claim> round(double now) {
     List<Claim> claims = new ArrayList<>();
@@ -66,6 +74,7 @@
     return Comparator.<Job, Priority>comparing(j -> j.spec.priority())
         .thenComparing(j -> !guaranteed(j))
         .thenComparingDouble(this::share)
+        .thenComparing(j -> stepBack.contains(j))
         .thenComparingDouble(this::due);
   }
 
--- a/src/main/java/graderelay/core/Scheduler.java
+++ b/src/main/java/graderelay/core/Scheduler.java
@@ -773,6 +773,7 @@
     if (now - lastPlan >= Constants.PLAN_EVERY_S && !loading) {
       lastPlan = now;
       planner.plan(now);
+      placer.stepBack(planner.steppingBack());
     }
     if (now - lastRound >= Constants.ROUND_AT_LEAST_EVERY_S) {
       dirty = true;
--- a/src/main/java/graderelay/service/Constants.java
+++ b/src/main/java/graderelay/service/Constants.java
@@ -93,6 +93,9 @@
   /** Seconds before a deadline at which work should be done: fetches, reports and the poll. */
   public static final double DEADLINE_MARGIN_S = 8;
 
+  /** Times its own time to the deadline that a late job steps back for others at most. */
+  public static final double OVERDUE_SPANS = 2;
+
   /** Share of the rented CPUs that tasks of uneven size can fill. */
   public static final double PACKING = 0.85;
 
