--- a/src/main/java/graderelay/service/Constants.java
+++ b/src/main/java/graderelay/service/Constants.java
@@ -97,7 +97,7 @@
   public static final double OVERDUE_SPANS = 2;
 
   /** Share of the rented CPUs that tasks of uneven size can fill. */
-  public static final double PACKING = 0.93;
+  public static final double PACKING = 0.85;
 
   /** Seconds in which running work is counted at most when nothing presses. */
   public static final double PATIENT_S = 60;
@@ -106,7 +106,7 @@
   public static final double CHARGED_AT_LEAST_S = 60;
 
   /** Share of a machine's own size that must be left over when it is closed: no to and fro. */
-  public static final double CLOSE_SLACK = 0.1;
+  public static final double CLOSE_SLACK = 0.5;
 
   /** Share of a machine up to which services are moved off it. */
   public static final double MOVE_SHARE = 0.5;
