--- a/src/main/java/graderelay/core/FleetPlanner.java
+++ b/src/main/java/graderelay/core/FleetPlanner.java
@@ -204,7 +204,7 @@
       }
       double forArrays = m.room.cpus() - serviceCpus(m);
       boolean enough = left - forArrays > Constants.CLOSE_SLACK * forArrays;
-      if (enough && movable(m, ordinary, now)) {
+      if (enough && movable(m, ordinary, now) && warmEnoughWithout(m, ordinary)) {
         m.closing = true;
         left -= forArrays;
         world.note("closing " + m.name + ": its work fits on cheaper machines");
@@ -262,6 +262,37 @@
     return true;
   }
 
+  /**
+   * True if for every image of work that should start sooner than it can be fetched, the machines
+   * that stay and have the image could hold what may come. Arrays there can be stopped for it.
+   */
+  private boolean warmEnoughWithout(Machine m, List<Machine> ordinary) {
+    Map<String, Integer> largest = new HashMap<>();
+    Map<String, JobSpec> typical = new HashMap<>();
+    for (Arrival a : arrivals) {
+      JobSpec s = a.spec();
+      if (s.isService() && world.policy.waits().containsKey(s.jobClass()) && m.warm(s.image())) {
+        largest.merge(s.image(), s.tasks(), Math::max);
+        typical.put(s.image(), s);
+      }
+    }
+    for (var e : typical.entrySet()) {
+      int slots = 0;
+      for (Machine o : ordinary) {
+        if (o != m && !o.closing && o.warm(e.getKey())) {
+          Room room = o.room.minus(servicesOn(o));
+          slots += room.times(Room.of(e.getValue()));
+        }
+      }
+      // What is moved off this machine takes room there as well.
+      int moved = (int) Math.ceil(serviceCpus(m) / Math.max(e.getValue().cpus(), 1e-3));
+      if (slots < Constants.WARM_JOBS * largest.get(e.getKey()) + moved) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   private static Room servicesOn(Machine m) {
     Room r = Room.NONE;
     for (Claim c : m.claims.values()) {
--- a/src/main/java/graderelay/service/Constants.java
+++ b/src/main/java/graderelay/service/Constants.java
@@ -108,6 +108,9 @@
   /** Share of a machine's own size that must be left over when it is closed: no to and fro. */
   public static final double CLOSE_SLACK = 0.5;
 
+  /** Jobs of the largest size seen that warm machines must have room for when one is closed. */
+  public static final int WARM_JOBS = 2;
+
   /** Share of a machine up to which services are moved off it. */
   public static final double MOVE_SHARE = 0.5;
 
