--- a/src/main/java/graderelay/core/Action.java
+++ b/src/main/java/graderelay/core/Action.java
@@ -34,6 +34,15 @@
   /** Asks for a new term for this same owner, to fence launches whose fate is unknown. */
   record RaiseTerm() implements Action {}
 
+  /**
+   * Keeps what the last minutes asked for, so that the next owner doesn't send machines away that
+   * will be needed. Ages are in seconds.
+   */
+  record KeepDemand(List<Demand> classes) implements Action {}
+
+  /** What arrived of one class: its latest job, and age and size of each recent one. */
+  record Demand(JobSpec latest, List<double[]> arrivals) {}
+
   /** One line of the story, for the log. */
   record Note(String text) implements Action {}
 }
--- a/src/main/java/graderelay/core/FleetPlanner.java
+++ b/src/main/java/graderelay/core/FleetPlanner.java
@@ -44,7 +44,7 @@
     }
   }
 
-  private record Arrival(double at, JobSpec spec) {}
+  private record Arrival(double at, JobSpec spec, int tasks) {}
 
   private final World world;
   private final Map<Long, Hiring> hiring = new HashMap<>();
@@ -63,7 +63,50 @@
   }
 
   void onArrival(JobSpec spec, double at) {
-    arrivals.add(new Arrival(at, spec));
+    arrivals.add(new Arrival(at, spec, spec.tasks()));
+    newArrivals = true;
+  }
+
+  /** What an earlier owner remembered; jobs that are still live were counted already. */
+  void onDemand(Action.Demand d, double now) {
+    for (double[] a : d.arrivals()) {
+      double at = now - a[0];
+      boolean known =
+          arrivals.stream()
+              .anyMatch(
+                  x ->
+                      Math.abs(x.at() - at) < 0.5
+                          && x.tasks() == (int) a[1]
+                          && x.spec().jobClass().equals(d.latest().jobClass()));
+      if (!known) {
+        arrivals.add(new Arrival(at, d.latest(), (int) a[1]));
+      }
+    }
+  }
+
+  private boolean newArrivals;
+  private double lastKept = Double.NEGATIVE_INFINITY;
+
+  private void keepDemand(double now) {
+    if (!newArrivals || now - lastKept < Constants.KEEP_DEMAND_EVERY_S) {
+      return;
+    }
+    lastKept = now;
+    newArrivals = false;
+    Map<String, Action.Demand> classes = new HashMap<>();
+    for (int i = arrivals.size() - 1; i >= 0; i--) {
+      Arrival a = arrivals.get(i);
+      Action.Demand d =
+          classes.computeIfAbsent(
+              a.spec().jobClass(), c -> new Action.Demand(a.spec(), new ArrayList<>()));
+      if (d.arrivals().size() < Constants.KEPT_ARRIVALS) {
+        d.arrivals().add(new double[] {now - a.at(), a.tasks()});
+      }
+      if (classes.size() > Constants.KEPT_CLASSES) {
+        break;
+      }
+    }
+    world.out.add(new Action.KeepDemand(List.copyOf(classes.values())));
   }
 
   void onRan(JobSpec spec, double seconds) {
@@ -148,6 +191,7 @@
       world.out.add(new Action.Hire(id, p.type(), p.zone(), p.spot(), n));
     }
     giveBack(keep, now);
+    keepDemand(now);
   }
 
   /** Ordinary CPUs that may still be rented for work that could use spot machines. */
@@ -176,7 +220,10 @@
    * their end, and services by moving them one at a time to where there is room and their image.
    */
   private void close(double surplus, Set<Machine> keep, double now) {
-    if (world.jobs.values().stream().anyMatch(j -> impatient(j.spec))) {
+    boolean impatient =
+        world.jobs.values().stream().anyMatch(j -> impatient(j.spec))
+            || arrivals.stream().anyMatch(a -> impatient(a.spec()));
+    if (impatient || now - startedAt < Constants.SETTLE_S) {
       world.machines.values().forEach(m -> m.closing = false);
       return;
     }
@@ -484,12 +531,14 @@
       int sum = 0;
       int largest = 0;
       for (Arrival a : e.getValue()) {
-        sum += a.spec().tasks();
-        largest = Math.max(largest, a.spec().tasks());
+        sum += a.tasks();
+        largest = Math.max(largest, a.tasks());
       }
       double mean = sum / span * boot * 1.5;
-      double n = Math.max(mean, largest) * world.policy.tuning().spareFactor();
       JobSpec typical = e.getValue().get(e.getValue().size() - 1).spec();
+      // Arrays come in lumps, and several at once on a bad day.
+      double lump = typical.isService() ? Math.max(mean, largest) : mean + 2 * largest;
+      double n = lump * world.policy.tuning().spareFactor();
       spare.put(typical, (int) Math.ceil(n));
     }
     return spare;
@@ -549,6 +598,9 @@
     if (needed.contains(m) || m.cordoned) {
       return null;
     }
+    if (now - startedAt < Constants.SETTLE_S) {
+      return null;
+    }
     if (m.closing) {
       return "its work went to cheaper machines";
     }
--- a/src/main/java/graderelay/core/Scheduler.java
+++ b/src/main/java/graderelay/core/Scheduler.java
@@ -107,6 +107,11 @@
     dirty = true;
   }
 
+  /** What an earlier owner kept of the demand. */
+  public void onDemand(List<Action.Demand> classes, double now) {
+    classes.forEach(d -> planner.onDemand(d, now));
+  }
+
   public void onJobGone(String id, double now) {
     Job j = world.jobs.get(id);
     if (j != null && !j.ending) {
--- a/src/main/java/graderelay/service/Constants.java
+++ b/src/main/java/graderelay/service/Constants.java
@@ -84,6 +84,17 @@
   /** Times the spare room that arrivals of the last minutes suggest. */
   public static final double SPARE_FACTOR = 1.0;
 
+  /** Seconds between records of the recent demand, for the next owner. */
+  public static final double KEEP_DEMAND_EVERY_S = 10;
+
+  /** Arrivals of one class, and classes, kept in that record: it has to fit a value. */
+  public static final int KEPT_ARRIVALS = 24;
+
+  public static final int KEPT_CLASSES = 12;
+
+  /** Seconds after a takeover in which no machine is called idle: demand is not known yet. */
+  public static final double SETTLE_S = 30;
+
   /** Share of the weight that older run times keep with each new one. */
   public static final double RATIO_MEMORY = 0.98;
 
--- a/src/main/java/graderelay/service/FleetDuty.java
+++ b/src/main/java/graderelay/service/FleetDuty.java
@@ -82,6 +82,9 @@
           (i, s) -> core.onSlice(new SliceKey(e.spec.id(), i), s.record(), s.mark(), now));
     }
     cache.looseSlices().forEach((k, s) -> core.onSlice(k, s.record(), s.mark(), now));
+    if (cache.demand() != null) {
+      core.onDemand(StateCodec.demand(cache.demand(), loop.wallMs()), now);
+    }
     core.loaded(now);
     list();
     tick();
@@ -202,6 +205,14 @@
         hire(h);
       } else if (a instanceof Action.GiveBack g) {
         giveBack(g);
+      } else if (a instanceof Action.KeepDemand k) {
+        // A hint, so an answer that is lost doesn't matter; the owner's mark keeps past ones out.
+        state.commit(
+            new StateClient.Txn()
+                .when(StateCodec.OWNER, ownership.ownerMark())
+                .put(StateCodec.DEMAND, StateCodec.demand(k.classes(), loop.wallMs())),
+            Use.SUBMISSION,
+            r -> {});
       } else if (a instanceof Action.RaiseTerm) {
         ownership.raise(
             term -> {
--- a/src/main/java/graderelay/state/Cache.java
+++ b/src/main/java/graderelay/state/Cache.java
@@ -78,6 +78,7 @@
   private long term;
   private long termMark;
   private String termMember = "";
+  private JsonNode demand;
   private JsonNode settings;
   private long settingsMark;
   private long revision;
@@ -144,6 +145,11 @@
     return termMark;
   }
 
+  /** What the last owner kept of the demand, or null. */
+  public JsonNode demand() {
+    return demand;
+  }
+
   public JsonNode settings() {
     return settings;
   }
@@ -173,7 +179,12 @@
     loading = true;
     List<List<JsonNode>> got = new ArrayList<>();
     String[] prefixes = {
-      StateCodec.OWNER, StateCodec.TERM, StateCodec.SETTINGS, StateCodec.JOBS, StateCodec.SLICES
+      StateCodec.OWNER,
+      StateCodec.TERM,
+      StateCodec.SETTINGS,
+      StateCodec.DEMAND,
+      StateCodec.JOBS,
+      StateCodec.SLICES
     };
     loadNext(prefixes, 0, got);
   }
@@ -336,6 +347,8 @@
       term = value.path("term").asLong();
       termMember = value.path("member").asText();
       termMark = mark;
+    } else if (key.equals(StateCodec.DEMAND)) {
+      demand = value;
     } else if (key.equals(StateCodec.SETTINGS) && mark > settingsMark) {
       settings = value;
       settingsMark = mark;
--- a/src/main/java/graderelay/wire/StateCodec.java
+++ b/src/main/java/graderelay/wire/StateCodec.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import graderelay.core.Action;
 import graderelay.core.JobSpec;
 import graderelay.core.Kind;
 import graderelay.core.Priority;
@@ -21,6 +22,7 @@
   public static final String OWNER = "g/owner";
   public static final String TERM = "g/term";
   public static final String SETTINGS = "g/settings";
+  public static final String DEMAND = "g/demand";
   public static final String JOBS = "g/job/";
   public static final String SLICES = "g/slice/";
 
@@ -126,6 +128,34 @@
         Math.max(1, n.path("cap").asInt(1)));
   }
 
+  /** The recent demand, with times of day. */
+  public static ObjectNode demand(List<Action.Demand> classes, long nowMs) {
+    ObjectNode n = Json.object();
+    ArrayNode list = n.putArray("classes");
+    for (Action.Demand d : classes) {
+      ObjectNode c = list.addObject();
+      c.set("latest", job(d.latest(), false));
+      ArrayNode a = c.putArray("arrivals");
+      for (double[] x : d.arrivals()) {
+        a.addArray().add(nowMs - (long) (x[0] * 1000)).add((int) x[1]);
+      }
+    }
+    return n;
+  }
+
+  public static List<Action.Demand> demand(JsonNode n, long nowMs) {
+    List<Action.Demand> classes = new ArrayList<>();
+    for (JsonNode c : n.path("classes")) {
+      List<double[]> arrivals = new ArrayList<>();
+      for (JsonNode a : c.path("arrivals")) {
+        double age = (nowMs - a.path(0).asLong()) / 1000.0;
+        arrivals.add(new double[] {Math.max(0, age), a.path(1).asInt()});
+      }
+      classes.add(new Action.Demand(job("j-0", c.path("latest")), arrivals));
+    }
+    return classes;
+  }
+
   /** The final state of a job. */
   public static ObjectNode end(boolean cancelled, int tasks) {
     return Json.object().put("end", cancelled ? "cancelled" : "done").put("tasks", tasks);
