--- a/src/main/java/graderelay/core/Placer.java
+++ b/src/main/java/graderelay/core/Placer.java
@@ -47,7 +47,7 @@
         waiting.add(j);
       }
     }
-    waiting.sort(order());
+    waiting.sort(order(now));
     for (Job j : waiting) {
       place(j, usable, claims, now);
     }
@@ -70,14 +70,31 @@
   /**
    * Priority, then work within a guarantee, then the team with the least share, then the oldest.
    */
-  private Comparator<Job> order() {
+  private Comparator<Job> order(double now) {
     return Comparator.<Job, Priority>comparing(j -> j.spec.priority())
         .thenComparing(j -> !guaranteed(j))
         .thenComparingDouble(this::share)
         .thenComparing(j -> stepBack.contains(j))
+        .thenComparingInt(j -> missed(j, now))
+        .thenComparingInt(j -> lump(j))
         .thenComparingDouble(this::due);
   }
 
+  /** How many of its class's wanted waiting times are over: what can still be met goes first. */
+  private int missed(Job j, double now) {
+    int n = 0;
+    for (double w : world.policy.waitSteps().getOrDefault(j.spec.jobClass(), List.of())) {
+      n += now - j.submittedAt > w ? 1 : 0;
+    }
+    return n;
+  }
+
+  /** Of jobs that should start soon, the smaller first: more of them do. */
+  private int lump(Job j) {
+    boolean soon = !j.spec.isService() && world.policy.waits().containsKey(j.spec.jobClass());
+    return soon ? j.open.cardinality() : 0;
+  }
+
   private boolean guaranteed(Job j) {
     return world.withinGuarantee(j.spec.team(), Room.of(j.spec));
   }
--- a/src/main/java/graderelay/core/Policy.java
+++ b/src/main/java/graderelay/core/Policy.java
@@ -5,7 +5,8 @@
 /**
  * What the platform and the operators prescribe to the core.
  *
- * @param waits for each class with a wanted waiting time, that time
+ * @param waits for each class with a wanted waiting time, the shortest
+ * @param waitSteps all of them, ascending
  */
 public record Policy(
     List<Team> teams,
@@ -16,6 +17,7 @@
     int txnOps,
     int valueBytes,
     java.util.Map<String, Double> waits,
+    java.util.Map<String, List<Double>> waitSteps,
     Tuning tuning) {
 
   /** Settings that operators may change at any time. */
@@ -39,6 +41,7 @@
   }
 
   Policy with(Tuning t) {
-    return new Policy(teams, reportS, leaseS, cancelS, listLagS, txnOps, valueBytes, waits, t);
+    return new Policy(
+        teams, reportS, leaseS, cancelS, listLagS, txnOps, valueBytes, waits, waitSteps, t);
   }
 }
--- a/src/main/java/graderelay/service/Node.java
+++ b/src/main/java/graderelay/service/Node.java
@@ -90,6 +90,7 @@
         s.txnOps(),
         (int) (s.valueKb() * 1024),
         s.waits(),
+        s.waitSteps(),
         new Policy.Tuning(
             Math.max(1, Math.min(Constants.SLICE_CAP, fits)),
             Constants.SAMPLE_SIZE,
--- a/src/main/java/graderelay/service/Settings.java
+++ b/src/main/java/graderelay/service/Settings.java
@@ -21,6 +21,7 @@
     String stateAddress,
     List<Team> teams,
     Map<String, Double> waits,
+    Map<String, List<Double>> waitSteps,
     double reportS,
     double leaseS,
     double cancelS,
@@ -83,13 +84,18 @@
       throw new Wrong("deployment.teams is missing or empty");
     }
     Map<String, Double> waits = new HashMap<>();
+    Map<String, List<Double>> steps = new HashMap<>();
     i = 0;
     for (JsonNode o : list(d, "objectives", "deployment.objectives")) {
       String at = "deployment.objectives[" + i++ + "].";
       if (o.path("kind").asText().equals("wait") && o.has("class")) {
-        waits.merge(text(o, "class", at), number(o, "within_s", at, 0, null), Math::min);
+        String jobClass = text(o, "class", at);
+        double within = number(o, "within_s", at, 0, null);
+        waits.merge(jobClass, within, Math::min);
+        steps.computeIfAbsent(jobClass, c -> new ArrayList<>()).add(within);
       }
     }
+    steps.values().forEach(l -> l.sort(null));
     return new Settings(
         text(n, "member", ""),
         text(n, "zone", ""),
@@ -100,6 +106,7 @@
         address(outside, "state", "outside."),
         List.copyOf(teams),
         Map.copyOf(waits),
+        steps,
         number(workers, "report_s", "deployment.workers.", 0.001, null),
         number(workers, "lease_s", "deployment.workers.", 0.001, null),
         number(workers, "cancel_s", "deployment.workers.", 0.001, null),
--- a/src/test/java/graderelay/sim/SimWorld.java
+++ b/src/test/java/graderelay/sim/SimWorld.java
@@ -84,6 +84,7 @@
         "state" + i + ":1",
         List.of(new Team("team", 8, LIMIT, 0, 0)),
         Map.of("web", 1.0),
+        Map.of("web", List.of(1.0)),
         REPORT_S,
         LEASE_S,
         CANCEL_S,
