--- a/src/main/java/graderelay/core/Placer.java
+++ b/src/main/java/graderelay/core/Placer.java
@@ -83,10 +83,14 @@
   /** How many of its class's wanted waiting times are over: what can still be met goes first. */
   private int missed(Job j, double now) {
     int n = 0;
+    double waited = now - j.submittedAt;
+    double last = 0;
     for (double w : world.policy.waitSteps().getOrDefault(j.spec.jobClass(), List.of())) {
-      n += now - j.submittedAt > w ? 1 : 0;
+      n += waited > w ? 1 : 0;
+      last = w;
     }
-    return n;
+    // Others must not pass it for ever.
+    return waited > last * Constants.PASSED_STEPS ? 0 : n;
   }
 
   /** Of jobs that should start soon, the smaller first: more of them do. */
--- a/src/main/java/graderelay/service/Constants.java
+++ b/src/main/java/graderelay/service/Constants.java
@@ -33,6 +33,9 @@
   /** Report intervals without a report after which a machine is no target for new tasks. */
   public static final double SILENT_REPORTS = 2.2;
 
+  /** Times its class's longest wanted wait after which a job is no longer passed by others. */
+  public static final double PASSED_STEPS = 2;
+
   /** Seconds of lost work that one image fetch is counted as when choosing whom to stop. */
   public static final double COLD_COST_S = 20;
 
