--- a/src/main/java/graderelay/core/FleetPlanner.java
+++ b/src/main/java/graderelay/core/FleetPlanner.java
@@ -570,12 +570,43 @@
     }
   }
 
+  private final List<Double> replacedAt = new ArrayList<>();
+
+  /**
+   * True for a silent machine that is better given back than waited for: its services would be down
+   * until its lease has run out, while the cloud's answer to a deletion proves them gone at once.
+   * Only if it is alone in this, since otherwise the trouble may be ours.
+   */
+  private boolean gone(Machine m, double now) {
+    double heard = Math.max(m.lastReport, startedAt);
+    if (m.leaseOver
+        || m.failedPokes < Constants.DEAD_POKES
+        || now - heard < world.policy.reportS() * Constants.DEAD_REPORTS
+        || m.claims.values().stream().noneMatch(c -> c.job.spec.isService())) {
+      return false;
+    }
+    replacedAt.removeIf(t -> now - t > Constants.REPLACE_MEMORY_S);
+    int up = 0;
+    int silent = 0;
+    for (Machine o : world.machines.values()) {
+      if (!o.leaseOver && !o.spot && (o.reported || !o.claims.isEmpty())) {
+        up++;
+        silent += o.failedPokes > 0 ? 1 : 0;
+      }
+    }
+    return silent + replacedAt.size() <= Math.max(1, up * Constants.ALONE_SHARE);
+  }
+
   /** Why a machine should go, or null. */
   private String reason(Machine m, Set<Machine> needed, double now) {
     MachineType t = m.type == null ? null : world.types.get(m.type);
     if (m.failed) {
       return "it has failed";
     }
+    if (gone(m, now)) {
+      replacedAt.add(now);
+      return "no sign of it, and services wait to be replaced";
+    }
     if (!m.reported) {
       if (t == null || !m.claims.isEmpty()) {
         return null;
--- a/src/main/java/graderelay/core/Machine.java
+++ b/src/main/java/graderelay/core/Machine.java
@@ -55,6 +55,11 @@
   /** Tasks of several jobs failed here; to be replaced once empty. */
   boolean bad;
 
+  /** When we last asked it straight, and how often in a row that failed. */
+  double lastPoke = Double.NEGATIVE_INFINITY;
+
+  int failedPokes;
+
   /** The cloud lists it as failed: everything on it is gone. */
   boolean failed;
 
--- a/src/main/java/graderelay/core/Scheduler.java
+++ b/src/main/java/graderelay/core/Scheduler.java
@@ -222,6 +222,7 @@
     m.seq = r.seq();
     m.seenTerm = Math.max(m.seenTerm, r.term());
     m.lastReport = now;
+    m.failedPokes = 0;
     m.last = r;
     m.fetching.clear();
     if (first) {
@@ -461,6 +462,7 @@
     if (m == null) {
       return;
     }
+    m.failedPokes = how == Sent.EXECUTED || how == Sent.REFUSED ? 0 : m.failedPokes + 1;
     for (Order o : cmd.orders()) {
       if (!(o instanceof Order.Launch l)) {
         continue;
@@ -594,6 +596,7 @@
       m.listed = true;
       if (!m.reported) {
         world.locate(m, l.type(), l.zone(), l.spot());
+        m.address = l.address();
       }
       if (l.stage().equals("failed") && !m.failed) {
         m.failed = true;
@@ -769,6 +772,7 @@
   /** Looks at everything that only the passing of time changes. */
   public void tick(double now) {
     leases(now);
+    pokes(now);
     doubts(now);
     for (Job j : world.jobs.values()) {
       if (j.stop) {
@@ -786,6 +790,32 @@
     step(now);
   }
 
+  /**
+   * Asks machines straight that we have not heard of. After a takeover that shows at once what runs
+   * there, and the worker learns our term and looks for us; later, no answer to it is a sign that
+   * the machine is gone.
+   */
+  private void pokes(double now) {
+    for (Machine m : world.machines.values()) {
+      boolean unheard = !m.reported && !m.claims.isEmpty();
+      boolean silent =
+          m.reported && now - m.lastReport > world.policy.reportS() * Constants.POKE_REPORTS;
+      if (m.address == null
+          || m.leaseOver
+          || m.returning
+          || !(unheard || silent)
+          || now - m.lastPoke < Constants.POKE_EVERY_S) {
+        continue;
+      }
+      long session = m.session;
+      for (Claim c : m.claims.values()) {
+        session = Math.max(session, c.session);
+      }
+      m.lastPoke = now;
+      world.out.add(new Action.Command(m.name, m.address, session, term, List.of()));
+    }
+  }
+
   /** A worker's lease runs from our last answer, or from the takeover for those of before. */
   private void leases(double now) {
     double lease = world.policy.leaseS() * (1 + Constants.DRIFT) + Constants.LEASE_MARGIN_S;
--- a/src/main/java/graderelay/service/Constants.java
+++ b/src/main/java/graderelay/service/Constants.java
@@ -59,6 +59,29 @@
   /** Seconds between raises of the term: workers take a higher one at most twice a lease. */
   public static final double RAISE_PAUSE_S = 8;
 
+  /** Report intervals without a report after which a machine is asked straight. */
+  public static final double POKE_REPORTS = 1.6;
+
+  /** Seconds between such questions to one machine. */
+  public static final double POKE_EVERY_S = 1.2;
+
+  /**
+   * Report intervals without any sign after which a machine with services is given back. A worker
+   * whose controller hangs needs one timeout of 4 s and a pause of 1 s to find another.
+   */
+  public static final double DEAD_REPORTS = 3.2;
+
+  /** Questions in a row without an answer that this takes as well. */
+  public static final int DEAD_POKES = 2;
+
+  /**
+   * Share of the ordinary machines that may be silent at most: more is a trouble of the network.
+   */
+  public static final double ALONE_SHARE = 0.15;
+
+  /** Seconds for which machines given back in this way count as silent. */
+  public static final double REPLACE_MEMORY_S = 30;
+
   // ---------------------------------------------------------------- failures of tasks
 
   /** Errors in a row on one machine, of several jobs, after which it is replaced. */
--- a/src/test/java/graderelay/StoriesTest.java
+++ b/src/test/java/graderelay/StoriesTest.java
@@ -135,7 +135,7 @@
   @Test
   void aMissingTaskIsRequeuedOnlyAfterItsWorkersLease() {
     SimWorld w = world(8);
-    Rules.Known j = w.job("j-000008", 1, 4, 0, false);
+    Rules.Known j = w.job("j-000008", 1, 4, 300, false);
     w.submit(0, j);
     w.loop.run(15);
     String machine = runner(w, "j-000008/0");
@@ -152,6 +152,25 @@
     fine(w);
   }
 
+  @Test
+  void aSilentMachineWithServicesIsGivenBackAndItsReplicasStartElsewhereBeforeItsLease() {
+    SimWorld w = world(8);
+    Rules.Known j = w.job("j-000020", 1, 3, 0, false);
+    w.submit(0, w.job("j-000021", 4, 3, 300, false));
+    w.submit(0, j);
+    w.loop.run(20);
+    String machine = runner(w, "j-000020/0");
+    for (int i = 0; i < 3; i++) {
+      w.net.cut("c" + i, machine);
+    }
+    w.loop.run(SimWorld.LEASE_S - 2);
+    assertThat(w.cloud.names()).doesNotContain(machine); // Deleted, which proves the task gone.
+    w.loop.run(15);
+    assertThat(w.stage(0, j.id)).isEqualTo("running");
+    assertThat(runner(w, "j-000020/0")).isNotEqualTo(machine);
+    fine(w);
+  }
+
   @Test
   void aLaunchThatIsHeldBackIsFencedBeforeItsJobIsOver() {
     SimWorld w = world(9);
