--- a/src/main/java/graderelay/core/FleetPlanner.java
+++ b/src/main/java/graderelay/core/FleetPlanner.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -284,7 +285,7 @@
     if (serviceCpus(m) > Constants.MOVE_SHARE * m.room.cpus()) {
       return false;
     }
-    Map<Machine, Room> free = new HashMap<>();
+    Map<Machine, Room> free = new LinkedHashMap<>();
     for (Machine o : ordinary) {
       if (o != m && !o.closing && world.usable(o, now)) {
         free.put(o, o.room.minus(servicesOn(o)));
--- a/src/main/java/graderelay/core/Machine.java
+++ b/src/main/java/graderelay/core/Machine.java
@@ -31,6 +31,12 @@
   /** When we last answered a report: no lease of this worker can begin later. */
   double lastAnswered = Double.NEGATIVE_INFINITY;
 
+  /**
+   * When we first saw its present session. A session that was shown by an answer to direct orders
+   * has a whole lease of its own before any report of it was answered.
+   */
+  double sessionSeen = Double.NEGATIVE_INFINITY;
+
   /** The session is over in any case: its lease has run out, counted safely. */
   boolean leaseOver;
 
--- a/src/main/java/graderelay/core/Scheduler.java
+++ b/src/main/java/graderelay/core/Scheduler.java
@@ -212,7 +212,8 @@
     }
     boolean first = !m.reported;
     world.locate(m, r.type(), r.zone(), r.spot());
-    if (r.session() != m.session) {
+    if (first || r.session() != m.session) {
+      m.sessionSeen = now;
       m.neverReap.clear(); // Late orders name their session and are refused now.
     }
     m.reported = true;
@@ -820,7 +821,7 @@
   private void leases(double now) {
     double lease = world.policy.leaseS() * (1 + Constants.DRIFT) + Constants.LEASE_MARGIN_S;
     for (Machine m : world.machines.values()) {
-      double from = Math.max(m.lastAnswered, tookOver);
+      double from = Math.max(Math.max(m.lastAnswered, m.sessionSeen), tookOver);
       if (now <= from + lease || (!m.reported && m.claims.isEmpty())) {
         continue;
       }
--- /dev/null
+++ b/src/test/java/graderelay/CoreStories.java
@@ -0,0 +1,127 @@
+package graderelay;
+
+import graderelay.core.Action;
+import graderelay.core.JobSpec;
+import graderelay.core.Kind;
+import graderelay.core.MachineType;
+import graderelay.core.Policy;
+import graderelay.core.Priority;
+import graderelay.core.Report;
+import graderelay.core.Scheduler;
+import graderelay.core.Team;
+import graderelay.sim.SimWorld;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/** Small words to tell stories of the core alone with. */
+final class CoreStories {
+  private CoreStories() {}
+
+  private static final java.util.WeakHashMap<Scheduler, List<Action>> TAKEN =
+      new java.util.WeakHashMap<>();
+
+  static Scheduler scheduler(long term) {
+    Policy p =
+        new Policy(
+            List.of(new Team("team", 8, 24, 0, 0)),
+            SimWorld.REPORT_S,
+            SimWorld.LEASE_S,
+            SimWorld.CANCEL_S,
+            3,
+            SimWorld.TXN_OPS,
+            16384,
+            Map.of(),
+            Map.of(),
+            new Policy.Tuning(500, 3, 3, 30, 1, true, false, "info"));
+    Scheduler s = new Scheduler(p, term, new SplittableRandom(1), 0);
+    s.onTypes(List.of(new MachineType("small", 4, 0, 16, 1, 1, 0.4, 5, List.of("a", "b"))));
+    s.loaded(0);
+    return s;
+  }
+
+  static JobSpec array(String id, int tasks) {
+    return new JobSpec(
+        id,
+        "batch",
+        "team",
+        Kind.ARRAY,
+        Priority.NORMAL,
+        tasks,
+        1,
+        0,
+        1,
+        "i",
+        1,
+        null,
+        null,
+        false,
+        false,
+        true,
+        10,
+        0,
+        0,
+        null,
+        0,
+        500);
+  }
+
+  static Report report(String machine, long session, long seq, long term, Report.Entry... tasks) {
+    return new Report(
+        machine, machine + ":9000", "small", "a", false, session, seq, term, null, List.of(tasks));
+  }
+
+  /** A report that is answered. */
+  static void machine(Scheduler s, String name, long session, long seq, double now) {
+    s.onReport(report(name, session, seq, s.term()), now);
+    s.answered(name, now);
+  }
+
+  static List<Action> taken(Scheduler s) {
+    List<Action> all = TAKEN.computeIfAbsent(s, k -> new ArrayList<>());
+    all.addAll(s.take());
+    return all;
+  }
+
+  static List<String> notes(Scheduler s) {
+    List<String> notes = new ArrayList<>();
+    for (Action a : taken(s)) {
+      if (a instanceof Action.Note n) {
+        notes.add(n.text());
+      }
+    }
+    return notes;
+  }
+
+  /** Runs a round and commits what it writes, at the mark given. */
+  static void commitAll(Scheduler s, long mark, double now) {
+    s.step(now);
+    List<Action> all = taken(s);
+    for (Action a : new ArrayList<>(all)) {
+      if (a instanceof Action.Write w) {
+        all.remove(a);
+        s.onWrite(w.id(), Scheduler.Outcome.COMMITTED, mark, now);
+      }
+    }
+    s.step(now + 0.05);
+  }
+
+  /** Answers the latest direct orders with a report that refuses them. */
+  static void answerDirect(Scheduler s, Report r, double now) {
+    for (Action a : new ArrayList<>(taken(s))) {
+      if (a instanceof Action.Command c) {
+        TAKEN.get(s).remove(a);
+        s.onSent(c, Scheduler.Sent.REFUSED, r, now);
+      }
+    }
+  }
+
+  static int claimsOf(Scheduler s, String machine) {
+    return s.machines(0).stream()
+        .filter(m -> m.name().equals(machine))
+        .findFirst()
+        .orElseThrow()
+        .claims();
+  }
+}
--- a/src/test/java/graderelay/ModelTest.java
+++ b/src/test/java/graderelay/ModelTest.java
@@ -27,6 +27,9 @@
 
   static List<Long> seeds() {
     List<Long> seeds = new ArrayList<>();
+    if (Long.getLong("seed") != null) {
+      return List.of(Long.getLong("seed"));
+    }
     long n = Long.getLong("seeds", 60);
     for (long s = 1; s <= n; s++) {
       seeds.add(s);
--- a/src/test/java/graderelay/StoriesTest.java
+++ b/src/test/java/graderelay/StoriesTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import graderelay.core.Scheduler;
 import graderelay.sim.Rules;
 import graderelay.sim.SimWorld;
 import graderelay.wire.Json;
@@ -171,6 +172,24 @@
     fine(w);
   }
 
+  @Test
+  void aSessionThatOnlyDirectOrdersHaveShownHasItsWholeLease() {
+    // A worker that reaches no controller but is reached by the owner: the owner sees a new
+    // session in its answers and launches there, and must wait for that session's own lease.
+    Scheduler s = CoreStories.scheduler(1);
+    CoreStories.machine(s, "n-1", 1, 1, 0.0);
+    s.onJob(CoreStories.array("j-1", 1), false, 5, 0, 0);
+    CoreStories.commitAll(s, 10, 0.1);
+    CoreStories.answerDirect(s, CoreStories.report("n-1", 2, 9, 1), 11);
+    CoreStories.commitAll(s, 11, 11.1); // The first attempt ends with its session.
+    CoreStories.commitAll(s, 12, 11.2); // The second is claimed on the new one.
+    assertThat(CoreStories.claimsOf(s, "n-1")).isEqualTo(1);
+    s.tick(14); // A lease counted from the last answer would be over.
+    assertThat(CoreStories.notes(s)).noneMatch(n -> n.contains("lease of n-1 is over"));
+    s.tick(11 + SimWorld.LEASE_S + 1);
+    assertThat(CoreStories.notes(s)).anyMatch(n -> n.contains("lease of n-1 is over"));
+  }
+
   @Test
   void aLaunchThatIsHeldBackIsFencedBeforeItsJobIsOver() {
     SimWorld w = world(9);
