--- a/src/main/java/graderelay/cli/Main.java
+++ b/src/main/java/graderelay/cli/Main.java
@@ -1,5 +1,6 @@
 package graderelay.cli;
 
+import graderelay.service.Logs;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
@@ -13,22 +14,34 @@
     exitCodeList = {
       "0:done",
       "1:the service failed",
-      "2:wrong usage or wrong settings; the message names the field"
+      "2:wrong usage or wrong settings; the message names the field",
+      "3:the server can't be reached",
+      "4:the server refused the request",
+      "5:the server can't take the request now; try again later"
     },
-    subcommands = {Serve.class, Check.class, Warmup.class})
+    subcommands = {
+      Serve.class,
+      Check.class,
+      Tools.Status.class,
+      Tools.Jobs.class,
+      Tools.Submit.class,
+      Tools.Cancel.class,
+      Tools.Machines.class,
+      Tools.SettingsTool.class,
+      Warmup.class
+    })
 public final class Main implements Runnable {
   static final int FAILED = 1;
   static final int USAGE = 2;
+  static final int UNREACHABLE = 3;
+  static final int REFUSED = 4;
+  static final int UNAVAILABLE = 5;
 
   private Main() {}
 
   public static void main(String[] args) {
     String level = System.getenv("LOG_LEVEL");
-    System.setProperty(
-        "org.slf4j.simpleLogger.defaultLogLevel",
-        level == null || level.isBlank() ? "info" : level);
-    System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
-    System.setProperty("org.slf4j.simpleLogger.log.io.netty", "warn");
+    Logs.start(level);
     // The platform's own call goes straight to work: the argument parser's classes can't be
     // archived
     // and would cost every restart a good part of a second of a small machine.
--- a/src/main/java/graderelay/core/Action.java
+++ b/src/main/java/graderelay/core/Action.java
@@ -43,6 +43,9 @@
   /** What arrived of one class: its latest job, and age and size of each recent one. */
   record Demand(JobSpec latest, List<double[]> arrivals) {}
 
+  /** Something to be counted: a start with the time that its job waited, or how a task ended. */
+  record Seen(String what, double waitedS) implements Action {}
+
   /** One line of the story, for the log. */
   record Note(String text) implements Action {}
 }
--- a/src/main/java/graderelay/core/Machine.java
+++ b/src/main/java/graderelay/core/Machine.java
@@ -44,6 +44,9 @@
   boolean drain;
   boolean cordoned;
 
+  /** Its operators want it empty. */
+  boolean operatorDrain;
+
   /** The deletion was sent; nothing new is placed. */
   boolean returning;
 
--- a/src/main/java/graderelay/core/Policy.java
+++ b/src/main/java/graderelay/core/Policy.java
@@ -28,8 +28,7 @@
       double idleS,
       double spareFactor,
       boolean spotAllowed,
-      boolean claimsPaused,
-      String logLevel) {}
+      boolean claimsPaused) {}
 
   Team team(String name) {
     for (Team t : teams) {
--- a/src/main/java/graderelay/core/Scheduler.java
+++ b/src/main/java/graderelay/core/Scheduler.java
@@ -55,6 +55,7 @@
   private double lastRaise = Double.NEGATIVE_INFINITY;
   private boolean raising;
   private boolean loading = true;
+  private long stale;
 
   /** What a transaction under way contains. */
   private record Sending(
@@ -208,6 +209,7 @@
   private void takeReport(Report r, boolean checkin, double now) {
     Machine m = world.machine(r.machine(), now);
     if (m.reported && !r.newerThan(m.session, m.seq)) {
+      stale++;
       return; // Held back on the way: its list is older than what we know.
     }
     boolean first = !m.reported;
@@ -331,6 +333,7 @@
             + " exited: "
             + e.why()
             + (e.saved() ? ", saved" : ""));
+    world.out.add(new Action.Seen(e.why(), -1));
     switch (e.why()) {
       case "done" -> {
         m.errorStreak = 0;
@@ -754,6 +757,7 @@
                 + " with term "
                 + term
                 + (m.warm(c.job.spec.image()) ? "" : ", image to be fetched"));
+        world.out.add(new Action.Seen("started", now - c.job.waitingSince));
         c.launch = Claim.Launch.DIRECT;
         c.launchTerm = term;
         c.launchAt = now;
@@ -1073,7 +1077,9 @@
                       ? "silent"
                       : m.noticeAt != null
                           ? "noticed"
-                          : m.drain ? "draining" : m.cordoned ? "cordoned" : "up";
+                          : m.drain || m.operatorDrain
+                              ? "draining"
+                              : m.cordoned ? "cordoned" : "up";
       if (state.equals("up") && now < m.quarantineUntil) {
         state = "quarantined";
       }
@@ -1103,30 +1109,24 @@
     return j == null || !j.waiting() ? null : j.waitReason;
   }
 
-  /** Cordons, drains or frees a machine. Returns false if it is not known. */
-  public boolean control(String machine, boolean cordon, boolean drain, double now) {
-    Machine m = world.machines.get(machine);
-    if (m == null) {
-      return false;
-    }
-    m.cordoned = cordon;
-    m.drain = drain || m.bad;
-    if (drain) {
-      drainClaims(m, now);
+  /** What operators keep off machines, as the settings have it now. */
+  public void onCordons(Collection<String> cordoned, Collection<String> drained, double now) {
+    for (Machine m : world.machines.values()) {
+      boolean drain = drained.contains(m.name);
+      boolean starts = drain && !m.operatorDrain;
+      m.operatorDrain = drain;
+      m.cordoned = drain || cordoned.contains(m.name);
+      if (starts) {
+        world.note("machine " + m.name + " is drained by its operators");
+        drainClaims(m, now);
+      }
     }
     dirty = true;
-    return true;
   }
 
-  /** Names of machines that have not reported for this long although their lease runs. */
-  public List<String> silentFor(double seconds, double now) {
-    List<String> names = new ArrayList<>();
-    for (Machine m : world.machines.values()) {
-      if (m.reported && !m.returning && now - m.lastReport > seconds) {
-        names.add(m.name);
-      }
-    }
-    return names;
+  /** Reports dropped because newer ones had come before. */
+  public long staleReports() {
+    return stale;
   }
 
   public int machinesUp() {
--- a/src/main/java/graderelay/mesh/MeshApi.java
+++ b/src/main/java/graderelay/mesh/MeshApi.java
@@ -55,12 +55,12 @@
       }
       case MeshCodec.REPORT ->
           reports.accept(MeshCodec.bytes(n), a -> answer(e, MeshCodec.answer(a)));
-      case MeshCodec.USER ->
+      case MeshCodec.USER, MeshCodec.ADMIN ->
           users.handle(
               new Exchange(
                   n.path("method").asText(),
                   n.path("path").asText(),
-                  "",
+                  "relayed",
                   MeshCodec.bytes(n),
                   a -> answer(e, MeshCodec.answer(a))));
       default -> e.to().accept(Answer.json(404, Json.error("no such message")));
--- a/src/main/java/graderelay/service/Constants.java
+++ b/src/main/java/graderelay/service/Constants.java
@@ -298,6 +298,32 @@
   /** Largest amount of a resource or of seconds in a submission: more is a mistake. */
   public static final double MOST_AMOUNT = 1e9;
 
+  // ---------------------------------------------------------------- operators
+
+  /** Largest sample size: beyond that a round is no longer a sample. */
+  public static final int MOST_SAMPLE = 64;
+
+  /** Largest attempt cap. */
+  public static final int MOST_ATTEMPT_CAP = 100;
+
+  /** Seconds; longest idle time that may be set. */
+  public static final double MOST_IDLE_S = 3600;
+
+  /** Largest factor for spare room that may be set. */
+  public static final double MOST_SPARE = 10;
+
+  /** Machine names in one list of the settings, so that the record fits a value. */
+  public static final int MOST_CORDONED = 100;
+
+  /** Entries in one answer of the administration API. */
+  public static final int MOST_LISTED = 500;
+
+  /** Seconds between looks at how late the event loop is. */
+  public static final double DELAY_PROBE_S = 1;
+
+  /** Measured times kept until somebody reads the metrics for the first time. */
+  public static final int MOST_UNREAD_SPANS = 256;
+
   // ---------------------------------------------------------------- network
 
   /** Bytes of a request's body; a limit of the protocol. */
--- a/src/main/java/graderelay/service/FleetDuty.java
+++ b/src/main/java/graderelay/service/FleetDuty.java
@@ -41,6 +41,9 @@
   private Loop.Timer tickTimer;
   private Loop.Timer listTimer;
   private boolean listed;
+  private OperatorSettings operators;
+  private long stale;
+  private final Metrics metrics;
   private final double startedAt;
   private final double listLagS;
 
@@ -52,6 +55,8 @@
       CloudClient cloud,
       WorkerClient workers,
       Policy policy,
+      OperatorSettings operators,
+      Metrics metrics,
       RandomGenerator random,
       List<MachineType> types) {
     this.loop = loop;
@@ -60,6 +65,8 @@
     this.ownership = ownership;
     this.cloud = cloud;
     this.workers = workers;
+    this.operators = operators;
+    this.metrics = metrics;
     this.firstTerm = ownership.term();
     this.startedAt = loop.now();
     this.listLagS = policy.listLagS();
@@ -126,8 +133,10 @@
     stepSoon();
   }
 
-  void onTuning(Policy.Tuning t) {
-    core.onTuning(t);
+  void onSettings(OperatorSettings s) {
+    core.onTuning(s.tuning());
+    core.onCordons(s.cordoned(), s.drained(), loop.now());
+    operators = s;
     stepSoon();
   }
 
@@ -135,6 +144,10 @@
   List<Order> onReport(Report r) {
     double now = loop.now();
     core.onReport(r, now);
+    if (core.staleReports() > stale) {
+      stale = core.staleReports();
+      metrics.count("graderelay.dropped", "what", "stale report");
+    }
     List<Order> orders = core.ordersFor(r, now);
     core.answered(r.machine(), now);
     stepSoon();
@@ -185,6 +198,7 @@
           if (machines != null) {
             listed = true;
             core.onList(machines, loop.now());
+            core.onCordons(operators.cordoned(), operators.drained(), loop.now());
             stepSoon();
           }
           listTimer = loop.after(Constants.LIST_EVERY_S, this::list);
@@ -197,6 +211,11 @@
     for (Action a : core.take()) {
       if (a instanceof Action.Note n) {
         LOG.info("{}", n.text());
+      } else if (a instanceof Action.Seen seen) {
+        if (seen.waitedS() >= 0) {
+          metrics.span("graderelay.queue.wait", seen.waitedS());
+        }
+        metrics.count("graderelay.tasks", "outcome", seen.what());
       } else if (a instanceof Action.Write w) {
         write(w);
       } else if (a instanceof Action.Command c) {
@@ -256,6 +275,8 @@
     if (closed) {
       return;
     }
+    metrics.count(
+        "graderelay.writes", "outcome", r.how().name().toLowerCase(java.util.Locale.ROOT));
     if (r.done()) {
       core.onWrite(id, Outcome.COMMITTED, r.revision(), loop.now());
       carryOut();
@@ -302,6 +323,8 @@
           if (closed) {
             return;
           }
+          metrics.count(
+              "graderelay.orders", "outcome", how.name().toLowerCase(java.util.Locale.ROOT));
           if (how != Sent.EXECUTED) {
             LOG.info("orders to {} ended {}: {}", c.machine(), how, c.orders());
           }
--- a/src/main/java/graderelay/service/Node.java
+++ b/src/main/java/graderelay/service/Node.java
@@ -1,5 +1,6 @@
 package graderelay.service;
 
+import graderelay.api.AdminApi;
 import graderelay.api.UserApi;
 import graderelay.cloud.CloudClient;
 import graderelay.core.MachineType;
@@ -20,7 +21,9 @@
 import graderelay.wire.Json;
 import graderelay.worker.WorkerApi;
 import graderelay.worker.WorkerClient;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -44,7 +47,10 @@
   private final MeshClient mesh;
   private final MeshApi meshApi;
   private final Hedge hedge;
-  private final Policy policy;
+  private final OperatorSettings defaults;
+  private OperatorSettings operators;
+  private final Metrics metrics;
+  private final AdminApi admin;
   private List<MachineType> types;
   private FleetDuty duty;
   private Loop.Timer typesTimer;
@@ -55,7 +61,10 @@
     this.loop = loop;
     this.settings = s;
     this.random = random;
-    this.policy = policyOf(s);
+    String level = System.getenv("LOG_LEVEL");
+    this.defaults = OperatorSettings.defaults(mostSlice(s), Logs.known(level) ? level : "info");
+    this.operators = defaults;
+    this.metrics = new Metrics(loop);
     this.state =
         new StateClient(loop, transport, s.stateAddress(), s.stateRps(), s.stateChangesPerS());
     this.cache = new Cache(loop, state, new Changes());
@@ -73,37 +82,48 @@
             new Office());
     this.cloud = new CloudClient(loop, transport, s.cloudAddress(), s.cloudRps());
     this.workers = new WorkerClient(transport);
-    this.users = new UserApi(loop, state, cache, s, () -> types, () -> policy.tuning().sliceCap());
+    this.users = new UserApi(loop, state, cache, s, () -> types, () -> operators.sliceCap());
     this.reports = new WorkerApi(loop, ownership, cache, mesh, this::onReport);
+    this.admin =
+        new AdminApi(
+            loop,
+            s,
+            state,
+            cache,
+            ownership,
+            mesh,
+            defaults,
+            mostSlice(s),
+            this::core,
+            this::ready);
     this.hedge = new Hedge(loop, mesh);
-    this.meshApi = new MeshApi(loop, ownership, state, reports::relayed, this::handleHere);
+    this.meshApi = new MeshApi(loop, ownership, state, reports::relayed, this::handleRelayed);
+  }
+
+  private static int mostSlice(Settings s) {
+    return Math.max(1, (int) (s.valueKb() * 1024 / Constants.SLICE_BYTES_PER_TASK));
   }
 
-  private static Policy policyOf(Settings s) {
-    int fits = (int) (s.valueKb() * 1024 / Constants.SLICE_BYTES_PER_TASK);
+  private Policy policy() {
     return new Policy(
-        s.teams(),
-        s.reportS(),
-        s.leaseS(),
-        s.cancelS(),
-        s.listLagS(),
-        s.txnOps(),
-        (int) (s.valueKb() * 1024),
-        s.waits(),
-        s.waitSteps(),
-        new Policy.Tuning(
-            Math.max(1, Math.min(Constants.SLICE_CAP, fits)),
-            Constants.SAMPLE_SIZE,
-            Constants.ATTEMPT_CAP,
-            Constants.IDLE_S,
-            Constants.SPARE_FACTOR,
-            true,
-            false,
-            "info"));
+        settings.teams(),
+        settings.reportS(),
+        settings.leaseS(),
+        settings.cancelS(),
+        settings.listLagS(),
+        settings.txnOps(),
+        (int) (settings.valueKb() * 1024),
+        settings.waits(),
+        settings.waitSteps(),
+        operators.tuning());
   }
 
   public void start() {
     LOG.info("{} starts in zone {}", settings.member(), settings.zone());
+    metrics.bucket("state requests", state.requestTokens());
+    metrics.bucket("state changes", state.changeTokens());
+    metrics.bucket("cloud", cloud.tokens());
+    metrics.start();
     cache.start();
     readTypes();
     tick();
@@ -116,6 +136,7 @@
       duty.close();
     }
     ownership.close();
+    metrics.close();
     cache.close();
     if (typesTimer != null) {
       typesTimer.cancel();
@@ -195,11 +216,37 @@
       } else {
         wrongMethod(e);
       }
+    } else if (path.equals("/metrics")) {
+      if (get) {
+        showMetrics(e);
+      } else {
+        wrongMethod(e);
+      }
+    } else if (AdminApi.owns(path)) {
+      admin.handle(e);
     } else {
       hedge.handle(e, this::handleHere);
     }
   }
 
+  private void showMetrics(Exchange e) {
+    String text =
+        metrics.scrape(Map.of("state", state.outcomes(), "cloud", cloud.outcomes()), core());
+    e.to()
+        .accept(
+            new Answer(
+                200, text.getBytes(StandardCharsets.UTF_8), "text/plain; version=0.0.4", 0, false));
+  }
+
+  /** What another controller passes on. */
+  private void handleRelayed(Exchange e) {
+    if (AdminApi.owns(e.path())) {
+      admin.handle(e);
+    } else {
+      handleHere(e);
+    }
+  }
+
   /** Requests about jobs, decided by this node itself. */
   private void handleHere(Exchange e) {
     String path = e.path();
@@ -248,18 +295,27 @@
   private final class Office implements Ownership.Listener {
     @Override
     public void onWon(long term) {
+      metrics.count("graderelay.takeovers", "member", settings.member());
+      takeUp(term, loop.now());
+    }
+
+    /** Starts the duty as soon as the records are known as they stood when the term was won. */
+    private void takeUp(long term, double since) {
       cache.catchUp(
           ok -> {
             if (closed || !ownership.owner() || ownership.term() != term) {
               return;
             }
             if (!ok || types == null) {
-              loop.after(Constants.STATE_RETRY_S, () -> onWon(term));
+              loop.after(Constants.STATE_RETRY_S, () -> takeUp(term, since));
               return;
             }
             duty =
-                new FleetDuty(loop, state, cache, ownership, cloud, workers, policy, random, types);
+                new FleetDuty(
+                    loop, state, cache, ownership, cloud, workers, policy(), operators, metrics,
+                    random, types);
             duty.start();
+            metrics.span("graderelay.takeover", loop.now() - since);
           });
     }
 
@@ -307,6 +363,15 @@
     }
 
     @Override
-    public void onSettings() {}
+    public void onSettings() {
+      String before = operators.logLevel();
+      operators = OperatorSettings.stored(cache.settings(), defaults, mostSlice(settings));
+      if (!operators.logLevel().equals(before)) {
+        Logs.level(operators.logLevel());
+      }
+      if (duty != null) {
+        duty.onSettings(operators);
+      }
+    }
   }
 }
--- a/src/main/java/graderelay/wire/MeshCodec.java
+++ b/src/main/java/graderelay/wire/MeshCodec.java
@@ -11,6 +11,7 @@
   public static final String HANDOVER = "handover";
   public static final String REPORT = "report";
   public static final String USER = "user";
+  public static final String ADMIN = "admin";
 
   private MeshCodec() {}
 
--- /dev/null
+++ b/src/test/java/graderelay/AdminTest.java
@@ -0,0 +1,143 @@
+package graderelay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import graderelay.service.Settings;
+import graderelay.sim.Rules;
+import graderelay.sim.SimWorld;
+import graderelay.wire.Json;
+import org.assertj.core.api.Assertions;
+import org.junit.jupiter.api.Test;
+
+/** The administration API and the settings, as an operator meets them. */
+class AdminTest {
+  private static SimWorld world(long seed) {
+    SimWorld w = new SimWorld(seed);
+    w.loop.run(3);
+    return w;
+  }
+
+  private static JsonNode put(SimWorld w, int node, String values, Long mark) {
+    ObjectNode n = Json.object();
+    n.set("values", Json.read(values.getBytes()));
+    if (mark != null) {
+      n.put("mark", mark);
+    }
+    return w.answer(node, "PUT", "/admin/settings", Json.write(n));
+  }
+
+  @Test
+  void aWrongSettingIsRefusedWithItsNameAndRange() {
+    SimWorld w = world(1);
+    JsonNode a = put(w, 0, "{\"sample_size\":0}", null);
+    assertThat(a.path("http").asInt()).isEqualTo(400);
+    assertThat(a.path("error").asText()).contains("sample_size").contains("1 to 64");
+    JsonNode b = put(w, 0, "{\"colour\":1}", null);
+    assertThat(b.path("http").asInt()).isEqualTo(400);
+    assertThat(b.path("error").asText()).contains("colour").contains("spare_factor");
+    JsonNode c = put(w, 0, "{\"log_level\":\"loud\"}", null);
+    assertThat(c.path("error").asText()).contains("error, info or debug");
+  }
+
+  @Test
+  void aSettingChangedOnOneNodeHoldsOnAllAndALostRaceIsTold() {
+    SimWorld w = world(2);
+    long mark = w.answer(0, "GET", "/admin/settings", null).path("mark").asLong();
+    assertThat(put(w, 0, "{\"idle_s\":7.5}", mark).path("http").asInt()).isEqualTo(200);
+    w.loop.run(1);
+    JsonNode late = put(w, 1, "{\"idle_s\":9}", mark);
+    assertThat(late.path("http").asInt()).isEqualTo(409);
+    assertThat(late.path("values").path("idle_s").asDouble()).isEqualTo(7.5);
+    JsonNode back = put(w, 2, "{\"idle_s\":null}", null);
+    assertThat(back.path("values").path("idle_s").asDouble()).isEqualTo(30);
+  }
+
+  @Test
+  void pausedClaimsStartNothingUntilTheyAreResumed() {
+    SimWorld w = world(3);
+    assertThat(w.answer(1, "POST", "/admin/claims/pause", null).path("http").asInt())
+        .isEqualTo(200);
+    Rules.Known j = w.job("j-000001", 2, 1, 2, true);
+    w.submit(0, j);
+    w.loop.run(20);
+    assertThat(w.rules.starts).isZero();
+    w.answer(2, "POST", "/admin/claims/resume", null);
+    w.loop.run(20);
+    assertThat(w.stage(0, j.id)).isEqualTo("done");
+  }
+
+  @Test
+  void aDrainedMachineIsEmptiedAndStaysSoOverATakeover() {
+    SimWorld w = world(4);
+    Rules.Known j = w.job("j-000002", 2, 2, 0, false);
+    w.submit(0, j);
+    w.loop.run(15);
+    String machine =
+        w.workers.values().stream().filter(x -> !x.running().isEmpty()).findFirst().get().name;
+    w.answer(1, "POST", "/admin/machines/" + machine + "/drain", null);
+    w.crash(w.owner());
+    w.loop.run(30);
+    assertThat(w.workers.get(machine).running()).isEmpty();
+    assertThat(w.stage(w.owner(), j.id)).isEqualTo("running");
+    assertThat(w.rules.broken).isEmpty();
+  }
+
+  @Test
+  void anyNodeTellsWhatOnlyTheOwnerKnows() {
+    SimWorld w = world(5);
+    Rules.Known j = w.job("j-000003", 30, 4, 50, true);
+    w.submit(0, j);
+    w.loop.run(20);
+    for (int i = 0; i < 3; i++) {
+      JsonNode a = w.answer(i, "GET", "/admin/jobs/" + j.id, null);
+      assertThat(a.path("waits_because").asText()).isNotEmpty();
+      assertThat(a.path("claims").size()).isPositive();
+      assertThat(w.answer(i, "GET", "/admin/machines", null).path("machines").size()).isPositive();
+      JsonNode team = w.answer(i, "GET", "/admin/teams", null).path("teams").path(0);
+      assertThat(team.path("cpus_used").asDouble()).isBetween(4.0, SimWorld.LIMIT);
+      assertThat(w.answer(i, "GET", "/admin/status", null).path("owner").asText())
+          .isEqualTo("m-" + w.owner());
+    }
+  }
+
+  @Test
+  void aWrongSettingsFileIsRefusedByFieldAndUnknownFieldsAreIgnored() throws Exception {
+    String good =
+        """
+        member = "m"
+        zone = "a"
+        api_addr = "10.0.0.1:80"
+        mesh_addr = "10.0.0.1:81"
+        surprise = 1
+        [outside]
+        cloud = "10.2.0.2:1"
+        state = "10.2.0.1:1"
+        [[deployment.teams]]
+        name = "t"
+        [deployment.workers]
+        report_s = 2
+        lease_s = 12
+        cancel_s = 40
+        [deployment.state]
+        rps = 100
+        write_rps = 25
+        value_kb = 16
+        txn_ops = 12
+        [deployment.cloud]
+        rps = 2
+        list_lag_s = 4
+        [deployment.resources]
+        max_connections = 900
+        """;
+    assertThat(Settings.parse(new TomlMapper().readTree(good)).txnOps()).isEqualTo(12);
+    Assertions.assertThatThrownBy(
+            () -> Settings.parse(new TomlMapper().readTree(good.replace("lease_s = 12", ""))))
+        .hasMessageContaining("deployment.workers.lease_s");
+    Assertions.assertThatThrownBy(
+            () -> Settings.parse(new TomlMapper().readTree(good.replace(".1:80", ""))))
+        .hasMessageContaining("api_addr");
+  }
+}
