--- a/src/main/java/graderelay/core/FleetPlanner.java
+++ b/src/main/java/graderelay/core/FleetPlanner.java
@@ -173,9 +173,10 @@
     stepBack = deadlines.steppingBack(there, now);
     dearCpus = Math.max(0, needed - there);
     Map<Pool, Integer> wanted = new HashMap<>();
+    Map<String, Double> teamLeft = new HashMap<>();
     for (Job j : world.jobs.values()) {
       if (j.waiting()) {
-        int n = Math.min(j.open.cardinality(), withinLimit(j.spec));
+        int n = withinLimit(j, teamLeft);
         fill(j.spec, n, bins, wanted, now);
       }
     }
@@ -394,12 +395,21 @@
     }
   }
 
-  private int withinLimit(JobSpec s) {
+  /**
+   * How many tasks the team's limit has room for. What earlier jobs of this plan were given counts,
+   * since machines for more could not be used.
+   */
+  private int withinLimit(Job j, Map<String, Double> teamLeft) {
+    JobSpec s = j.spec;
     Team t = world.policy.team(s.team());
+    int open = j.open.cardinality();
     if (t == null || t.cpusMax() <= 0 || s.cpus() <= 0) {
-      return Integer.MAX_VALUE;
+      return open;
     }
-    return (int) Math.max(0, (t.cpusMax() - world.use(s.team()).cpus() + Room.SLACK) / s.cpus());
+    double left = teamLeft.computeIfAbsent(s.team(), k -> t.cpusMax() - world.use(k).cpus());
+    int n = (int) Math.max(0, Math.min(open, (left + Room.SLACK) / s.cpus()));
+    teamLeft.put(s.team(), left - n * s.cpus());
+    return n;
   }
 
   private boolean suits(JobSpec s, Pool p) {
