Cap what deadlines ask for by what teams' limits can use

Expectation: fewer idle ordinary machines. Conclusion: kept, as machines beyond a team's limit can only be idle.

--- a/src/main/java/graderelay/core/Deadlines.java
+++ b/src/main/java/graderelay/core/Deadlines.java
@@ -130,19 +130,46 @@
    * CPUs with which all patient work would be in time. A job that can't be in time any more adds
    * its work but no hurry.
    */
-  double neededCpus(double now) {
+  double neededCpus(Set<Job> back, double now) {
     double running = 0;
-    List<Due> dues = new ArrayList<>();
+    List<Due> all = new ArrayList<>();
+    Map<String, List<Due>> byTeam = new HashMap<>();
+    Map<String, Double> services = new HashMap<>();
+    double total = 0;
     for (Job j : world.jobs.values()) {
       JobSpec s = j.spec;
+      if (s.isService()) {
+        services.merge(s.team(), j.claims.size() * s.cpus(), Double::sum);
+      }
       if (!patient(s) || j.stop) {
         continue;
       }
       double estimate = estimate(s);
       double work = remaining(j, estimate, now);
+      total += work;
       running += j.claims.size() * s.cpus();
-      dues.add(new Due(j.submittedAt + s.deadlineS(), work, estimate));
+      if (!back.contains(j)) {
+        Due d = new Due(j.submittedAt + s.deadlineS(), work, estimate);
+        all.add(d);
+        byTeam.computeIfAbsent(s.team(), t -> new ArrayList<>()).add(d);
+      }
+    }
+    double capped = 0;
+    for (var e : byTeam.entrySet()) {
+      Team t = world.policy.team(e.getKey());
+      double need = press(e.getValue(), now);
+      // More than the team's limit leaves would stand idle.
+      capped +=
+          t == null || t.cpusMax() <= 0
+              ? need
+              : Math.min(need, t.cpusMax() - services.getOrDefault(e.getKey(), 0.0));
     }
+    double need = Math.min(press(all, now), capped);
+    return Math.max(need, Math.min(running, total / Constants.PATIENT_S)) / Constants.PACKING;
+  }
+
+  /** CPUs with which the work of each deadline and all before it is done in time. */
+  private static double press(List<Due> dues, double now) {
     dues.sort(Comparator.comparingDouble(Due::at));
     double sum = 0;
     double need = 0;
@@ -154,6 +181,6 @@
         need = Math.max(need, sum / slack);
       }
     }
-    return Math.max(need, Math.min(running, sum / Constants.PATIENT_S)) / Constants.PACKING;
+    return need;
   }
 }
--- a/src/main/java/graderelay/core/FleetPlanner.java
+++ b/src/main/java/graderelay/core/FleetPlanner.java
@@ -168,9 +168,9 @@
         bins.add(new Bin(null, h.pool, Room.of(world.types.get(h.pool.type()))));
       }
     }
-    double needed = deadlines.neededCpus(now);
     double there = cpusForArrays(bins);
     stepBack = deadlines.steppingBack(there, now);
+    double needed = deadlines.neededCpus(stepBack, now);
     dearCpus = Math.max(0, needed - there);
     Map<Pool, Integer> wanted = new HashMap<>();
     Map<String, Double> teamLeft = new HashMap<>();
