Plan services before arrays, and arrays onto spot machines first

Cause: waiting frames filled the ordinary machines that were booting in the plan, so that others were rented for previews; room that frames would make for previews did not count. Ruled out: deadlines, as a quarter of their need rented the same machines (tried, not kept).

--- a/src/main/java/graderelay/core/FleetPlanner.java
+++ b/src/main/java/graderelay/core/FleetPlanner.java
@@ -38,6 +38,9 @@
     final Pool pool;
     Room free;
 
+    /** What arrays of lower priority would make room for services. */
+    Room yielding = Room.NONE;
+
     Bin(Machine machine, Pool pool, Room free) {
       this.machine = machine;
       this.pool = pool;
@@ -161,7 +164,13 @@
       if (now < m.quarantineUntil) {
         continue;
       }
-      bins.add(new Bin(m, new Pool(m.type, m.zone, m.spot), m.free()));
+      Bin b = new Bin(m, new Pool(m.type, m.zone, m.spot), m.free());
+      for (Claim c : m.claims.values()) {
+        if (!c.job.spec.isService() && Priority.PROD.beats(c.job.spec.priority())) {
+          b.yielding = b.yielding.plus(c.room());
+        }
+      }
+      bins.add(b);
     }
     for (Hiring h : hiring.values()) {
       for (int i = 0; i < h.count; i++) {
@@ -174,15 +183,27 @@
     dearCpus = Math.max(0, needed - there);
     Map<Pool, Integer> wanted = new HashMap<>();
     Map<String, Double> teamLeft = new HashMap<>();
+    // Services first: they can't use spot machines, and arrays make room for them.
+    List<Job> waiting = new ArrayList<>();
     for (Job j : world.jobs.values()) {
       if (j.waiting()) {
-        int n = withinLimit(j, teamLeft);
-        fill(j.spec, n, bins, wanted, now);
+        waiting.add(j);
       }
     }
+    waiting.sort(Comparator.comparing(j -> !j.spec.isService()));
     Set<Machine> keep = new HashSet<>();
-    for (var e : spare(now).entrySet()) {
-      spareFill(e.getKey(), e.getValue(), bins, wanted, keep, now);
+    Map<JobSpec, Integer> spare = spare(now);
+    for (boolean services : new boolean[] {true, false}) {
+      for (Job j : waiting) {
+        if (j.spec.isService() == services) {
+          fill(j.spec, withinLimit(j, teamLeft), bins, wanted, null, now);
+        }
+      }
+      for (var e : spare.entrySet()) {
+        if (e.getKey().isService() == services) {
+          fill(e.getKey(), e.getValue(), bins, wanted, keep, now);
+        }
+      }
     }
     close(there - needed, keep, now);
     for (var e : wanted.entrySet()) {
@@ -420,19 +441,31 @@
         && (s.spot() || !p.spot());
   }
 
-  private void fill(JobSpec s, int n, List<Bin> bins, Map<Pool, Integer> wanted, double now) {
+  /**
+   * Puts tasks into bins, and rents for the rest. {@code keep} takes the machines that hold spare
+   * room, or is null.
+   */
+  private void fill(
+      JobSpec s, int n, List<Bin> bins, Map<Pool, Integer> wanted, Set<Machine> keep, double now) {
     Room need = Room.of(s);
     int left = n;
-    for (Bin b : bins) {
-      if (left <= 0) {
-        return;
-      }
-      if (!suits(s, b.pool)) {
-        continue;
+    // What may use spot machines takes those first, and leaves the others to what may not.
+    for (boolean first : new boolean[] {true, false}) {
+      for (Bin b : bins) {
+        if (left <= 0) {
+          return;
+        }
+        if (!suits(s, b.pool) || (s.spot() && b.pool.spot() != first) || (!s.spot() && !first)) {
+          continue;
+        }
+        Room room = s.isService() ? b.free.plus(b.yielding) : b.free;
+        int k = Math.min(left, room.times(need));
+        if (k > 0 && keep != null && b.machine != null) {
+          keep.add(b.machine);
+        }
+        b.free = less(b.free, need, k);
+        left -= k;
       }
-      int k = Math.min(left, b.free.times(need));
-      b.free = less(b.free, need, k);
-      left -= k;
     }
     while (left > 0) {
       boolean patient = deadlines.patient(s);
@@ -453,32 +486,6 @@
     }
   }
 
-  private void spareFill(
-      JobSpec s,
-      int n,
-      List<Bin> bins,
-      Map<Pool, Integer> wanted,
-      Set<Machine> needed,
-      double now) {
-    Room need = Room.of(s);
-    int left = n;
-    for (Bin b : bins) {
-      if (left <= 0) {
-        return;
-      }
-      if (!suits(s, b.pool)) {
-        continue;
-      }
-      int k = Math.min(left, b.free.times(need));
-      if (k > 0 && b.machine != null) {
-        needed.add(b.machine);
-      }
-      b.free = less(b.free, need, k);
-      left -= k;
-    }
-    fill(s, left, bins, wanted, now);
-  }
-
   private static Room less(Room r, Room need, int k) {
     return new Room(
         r.cpus() - k * need.cpus(), r.gpus() - k * need.gpus(), r.memGb() - k * need.memGb());
