Pass a worker's report on at once when it knows the owner's term, ignore deleted machines

Cause: a story with the owner cut from one machine: the worker needed 10 s of its 12 s lease to be relayed, and a report held back in the cut brought the deleted machine back.

--- a/src/main/java/graderelay/core/Scheduler.java
+++ b/src/main/java/graderelay/core/Scheduler.java
@@ -207,6 +207,9 @@
   }
 
   private void takeReport(Report r, boolean checkin, double now) {
+    if (dropped.contains(r.machine())) {
+      return; // Held back on the way: the cloud has said that the machine is gone.
+    }
     Machine m = world.machine(r.machine(), now);
     if (m.reported && !r.newerThan(m.session, m.seq)) {
       stale++;
@@ -610,7 +613,8 @@
     dirty = true;
   }
 
-  private final Set<String> dropped = new HashSet<>();
+  /** Machines whose deletion was answered, the last of them. */
+  private final Set<String> dropped = new LinkedHashSet<>();
 
   public void onHired(long id, List<String> names, boolean noCapacity, double now) {
     planner.onHired(id, names, noCapacity, now);
@@ -626,6 +630,9 @@
       }
       machineGone(m, "it was given back", now);
       dropped.add(n);
+      if (dropped.size() > Constants.MOST_DROPPED) {
+        dropped.remove(dropped.iterator().next());
+      }
       gone.add(n);
     }
     dirty = true;
--- a/src/main/java/graderelay/service/Constants.java
+++ b/src/main/java/graderelay/service/Constants.java
@@ -178,6 +178,9 @@
   /** Machines in one deletion request; a limit of the protocol. */
   public static final int MOST_RETURNED = 100;
 
+  /** Deleted machines remembered: late lists and reports still name them for a while. */
+  public static final int MOST_DROPPED = 1000;
+
   /** Seconds before a deletion without an answer is sent again. */
   public static final double RETURN_RETRY_S = 4;
 
--- a/src/main/java/graderelay/worker/WorkerApi.java
+++ b/src/main/java/graderelay/worker/WorkerApi.java
@@ -62,7 +62,10 @@
     Pointed p = pointed.remove(r.machine());
     double now = loop.now();
     boolean back = p != null && now - p.at() < Constants.RELAY_MEMORY_S;
-    boolean longEnough = back && now - p.relayedSince() > Constants.RELAY_FOR_S;
+    // A worker with the owner's own term was answered by it before: it is here since the owner no
+    // longer answers, and to point it back would cost it half its lease.
+    back |= p == null && o != null && r.term() >= o.term();
+    boolean longEnough = back && p != null && now - p.relayedSince() > Constants.RELAY_FOR_S;
     if (address == null || !back || longEnough) {
       if (address != null) {
         pointed.put(r.machine(), new Pointed(now, Double.POSITIVE_INFINITY));
@@ -70,7 +73,7 @@
       elsewhere(e.to(), o == null ? null : o.member());
       return;
     }
-    pointed.put(r.machine(), new Pointed(now, Math.min(now, p.relayedSince())));
+    pointed.put(r.machine(), new Pointed(now, p == null ? now : Math.min(now, p.relayedSince())));
     if (pointed.size() > Constants.MOST_POINTED) {
       pointed.remove(pointed.keySet().iterator().next());
     }
--- a/src/test/java/graderelay/StoriesTest.java
+++ b/src/test/java/graderelay/StoriesTest.java
@@ -60,6 +60,49 @@
     fine(w);
   }
 
+  @Test
+  void aCancelThatCommitsWhileTheClaimIsUnderWayMakesTheClaimFail() {
+    SimWorld w = world(21);
+    w.submit(0, w.job("j-000030", 1, 1, 0, false));
+    w.loop.run(15); // A machine is up.
+    Rules.Known j = w.job("j-000031", 2, 1, 0, false);
+    int[] left = {1};
+    w.state.delay = t -> writesSlice(t) && left[0]-- > 0;
+    w.state.delayS = 0.5;
+    w.submit(0, j);
+    w.loop.run(0.1);
+    w.cancel(1, j);
+    w.loop.run(0.1);
+    assertThat(w.stage(2, j.id)).isEqualTo("cancelled");
+    w.loop.run(3);
+    assertThat(w.state.everWritten).doesNotContain(StateCodec.SLICES + j.id + "/0");
+    assertThat(w.rules.starts).isEqualTo(1);
+    fine(w);
+  }
+
+  @Test
+  void aPastOwnersClaimFailsAlsoWhenNobodyElseTouchedTheRecord() {
+    SimWorld w = world(22);
+    w.submit(0, w.job("j-000032", 1, 1, 0, false));
+    w.loop.run(15);
+    int owner = w.owner();
+    Rules.Known j = w.job("j-000033", 2, 1, 5, true);
+    int[] left = {1};
+    w.state.delay = t -> writesSlice(t) && left[0]-- > 0;
+    w.state.delayS = 20;
+    w.submit((owner + 1) % 3, j);
+    while (left[0] > 0) {
+      w.loop.run(0.01);
+    }
+    w.crash(owner);
+    // The next owner claims nothing, so that only the owner record stands in the way.
+    w.answer((owner + 1) % 3, "POST", "/admin/claims/pause", null);
+    w.loop.run(30);
+    assertThat(w.owner()).isNotNegative().isNotEqualTo(owner);
+    assertThat(w.state.value(StateCodec.SLICES + j.id + "/0")).isNull();
+    fine(w);
+  }
+
   @Test
   void aCancelAfterTheClaimIsAStopRequestThatTheOwnerCarriesOut() {
     SimWorld w = world(3);
@@ -214,6 +257,46 @@
     fine(w);
   }
 
+  /** A direct launch is held by a cut between owner and machine; reports go through a peer. */
+  private static void heldLaunch(
+      double meanwhileAfter,
+      double healAfter,
+      java.util.function.BiConsumer<SimWorld, String> do1) {
+    SimWorld w = world(23);
+    Rules.Known warm = w.job("j-000040", 1, 1, 300, false);
+    w.submit(0, warm);
+    w.loop.run(15);
+    String machine = runner(w, "j-000040/0");
+    int owner = w.owner();
+    Rules.Known j = w.job("j-000041", 1, 1, 300, false);
+    w.net.alwaysPooled = true; // The order goes into an open connection and is held there.
+    w.submit((owner + 1) % 3, j);
+    while (!claimed(w, j)) {
+      w.loop.run(0.0005);
+    }
+    w.net.cut("c" + owner, machine);
+    w.loop.run(meanwhileAfter);
+    do1.accept(w, machine);
+    w.loop.run(healAfter - meanwhileAfter);
+    w.workers.get(machine).failsEverything = false;
+    w.net.heal("c" + owner, machine);
+    w.loop.run(40);
+    assertThat(w.owner()).isEqualTo(owner);
+    assertThat(w.stage(0, j.id)).isEqualTo("running");
+    fine(w);
+  }
+
+  @Test
+  void aTaskWhoseLaunchHasNoAnswerIsNotMovedBeforeThatIsFenced() {
+    heldLaunch(
+        2.5, 16, (w, m) -> w.answer(w.owner(), "POST", "/admin/machines/" + m + "/drain", null));
+  }
+
+  @Test
+  void anAttemptWhoseLaunchMayComeLateIsNotReaped() {
+    heldLaunch(1, 25, (w, m) -> w.workers.get(m).failsEverything = true);
+  }
+
   private static String runner(SimWorld w, String task) {
     return w.workers.values().stream()
         .filter(x -> x.running().contains(task))
--- a/src/test/java/graderelay/sim/SimNet.java
+++ b/src/test/java/graderelay/sim/SimNet.java
@@ -24,6 +24,9 @@
   private final Set<String> down = new HashSet<>();
   private final Map<String, java.util.List<Runnable>> held = new HashMap<>();
 
+  /** If set, no call needs a new connection, so that a cut holds it instead of refusing it. */
+  public boolean alwaysPooled;
+
   /** Chance that an answer is lost although the request was carried out. */
   public double loseAnswers;
 
@@ -94,7 +97,7 @@
           };
       String to = hostOf.get(address);
       boolean cutNow = to != null && cuts.contains(pair(host, to));
-      boolean newConnection = random.nextInt(4) == 0;
+      boolean newConnection = random.nextInt(4) == 0 && !alwaysPooled;
       if (to == null || down.contains(to) || (cutNow && newConnection)) {
         // Connecting hangs, so nothing ever leaves.
         loop.after(Math.min(1, timeoutS), () -> once.accept(Reply.neverSent()));
--- a/src/test/java/graderelay/sim/SimState.java
+++ b/src/test/java/graderelay/sim/SimState.java
@@ -53,6 +53,9 @@
   public double delayS = 5;
   public int requests;
 
+  /** Every key that was ever put. */
+  public final Set<String> everWritten = new HashSet<>();
+
   public SimState(SimLoop loop, int txnOps) {
     this.loop = loop;
     this.txnOps = txnOps;
@@ -246,6 +249,7 @@
       }
       if (c.has("put")) {
         long hold = c.path("permit").asLong(0);
+        everWritten.add(key);
         items.put(key, new Item(c.get("data"), revision, hold));
         if (hold > 0) {
           holds.get(hold).keys.add(key);
