--- a/src/test/java/graderelay/CoreStories.java
+++ b/src/test/java/graderelay/CoreStories.java
@@ -4,10 +4,12 @@
 import graderelay.core.JobSpec;
 import graderelay.core.Kind;
 import graderelay.core.MachineType;
+import graderelay.core.Order;
 import graderelay.core.Policy;
 import graderelay.core.Priority;
 import graderelay.core.Report;
 import graderelay.core.Scheduler;
+import graderelay.core.SliceRecord;
 import graderelay.core.Team;
 import graderelay.sim.SimWorld;
 import java.util.ArrayList;
@@ -22,7 +24,15 @@
   private static final java.util.WeakHashMap<Scheduler, List<Action>> TAKEN =
       new java.util.WeakHashMap<>();
 
+  /** An owner that has taken its first look. */
   static Scheduler scheduler(long term) {
+    Scheduler s = takingOver(term);
+    s.loaded(0);
+    return s;
+  }
+
+  /** An owner that is still reading the records. */
+  static Scheduler takingOver(long term) {
     Policy p =
         new Policy(
             List.of(new Team("team", 8, 24, 0, 0)),
@@ -37,10 +47,15 @@
             new Policy.Tuning(500, 3, 3, 30, 1, true, false));
     Scheduler s = new Scheduler(p, term, new SplittableRandom(1), 0);
     s.onTypes(List.of(new MachineType("small", 4, 0, 16, 1, 1, 0.4, 5, List.of("a", "b"))));
-    s.loaded(0);
     return s;
   }
 
+  /** The record of a job's only task, claimed as its first attempt. */
+  static SliceRecord claimed(String machine, long session) {
+    return new SliceRecord(
+        new int[] {1}, new String[] {machine}, new long[] {session}, new boolean[1]);
+  }
+
   static JobSpec array(String id, int tasks) {
     return new JobSpec(
         id,
@@ -94,6 +109,32 @@
     return notes;
   }
 
+  private static final java.util.WeakHashMap<Scheduler, int[]> WRITES =
+      new java.util.WeakHashMap<>();
+
+  /** Transactions answered so far by {@link #commitAll}. */
+  static int writes(Scheduler s) {
+    return WRITES.computeIfAbsent(s, k -> new int[1])[0];
+  }
+
+  static long launches(Scheduler s) {
+    return taken(s).stream()
+        .filter(a -> a instanceof Action.Command)
+        .flatMap(a -> ((Action.Command) a).orders().stream())
+        .filter(o -> o instanceof Order.Launch)
+        .count();
+  }
+
+  /** Answers the transactions that were sent, without a round before. */
+  static void answerWrites(Scheduler s, Scheduler.Outcome how, double now) {
+    for (Action a : new ArrayList<>(taken(s))) {
+      if (a instanceof Action.Write w) {
+        TAKEN.get(s).remove(a);
+        s.onWrite(w.id(), how, 0, now);
+      }
+    }
+  }
+
   /** Runs a round and commits what it writes, at the mark given. */
   static void commitAll(Scheduler s, long mark, double now) {
     s.step(now);
@@ -101,6 +142,8 @@
     for (Action a : new ArrayList<>(all)) {
       if (a instanceof Action.Write w) {
         all.remove(a);
+        writes(s);
+        WRITES.get(s)[0]++;
         s.onWrite(w.id(), Scheduler.Outcome.COMMITTED, mark, now);
       }
     }
--- a/src/test/java/graderelay/StoriesTest.java
+++ b/src/test/java/graderelay/StoriesTest.java
@@ -4,6 +4,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import graderelay.core.Scheduler;
+import graderelay.core.SliceKey;
 import graderelay.sim.Rules;
 import graderelay.sim.SimWorld;
 import graderelay.wire.Json;
@@ -233,6 +234,56 @@
     assertThat(CoreStories.notes(s)).anyMatch(n -> n.contains("lease of n-1 is over"));
   }
 
+  @Test
+  void anOwnerThatOnlyItsWorkersReachFallsSilentBeforeAnotherMayFollow() {
+    SimWorld w = world(24);
+    Rules.Known j = w.job("j-000050", 3, 1, 0, false);
+    w.submit(0, j);
+    w.loop.run(15);
+    int owner = w.owner();
+    w.net.cut("c" + owner, "state");
+    w.net.cut("c" + owner, "c" + (owner + 1) % 3);
+    w.net.cut("c" + owner, "c" + (owner + 2) % 3);
+    w.loop.run(4);
+    assertThat(w.nodes[owner].owner()).isFalse();
+    w.loop.run(36);
+    w.net.heal("c" + owner, "state");
+    w.loop.run(10);
+    assertThat(w.owner()).isNotNegative();
+    fine(w);
+  }
+
+  @Test
+  void aReportUnderAnOlderTermProvesNothingAboutAnEarlierOwnersClaim() {
+    Scheduler s = CoreStories.takingOver(2);
+    s.onJob(CoreStories.array("j-1", 1), false, 3, 0, 0);
+    s.onSlice(new SliceKey("j-1", 0), CoreStories.claimed("n-1", 1), 4, 0);
+    s.loaded(0);
+    s.onReport(
+        CoreStories.report("n-1", 1, 5, 1), 1); // The earlier owner's launch may be under way.
+    CoreStories.commitAll(s, 10, 1.1);
+    assertThat(CoreStories.claimsOf(s, "n-1")).isEqualTo(1);
+    assertThat(CoreStories.writes(s)).isZero();
+    s.onReport(CoreStories.report("n-1", 1, 6, 2), 2); // Now that launch would be refused.
+    CoreStories.commitAll(s, 11, 2.1);
+    assertThat(CoreStories.writes(s)).isPositive();
+  }
+
+  @Test
+  void aClaimThatTurnsUpLateIsEndedAndNeverLaunched() {
+    Scheduler s = CoreStories.scheduler(1);
+    CoreStories.machine(s, "n-1", 1, 1, 0);
+    s.onJob(CoreStories.array("j-1", 1), false, 5, 0, 0);
+    s.step(0.1);
+    CoreStories.answerWrites(s, Scheduler.Outcome.UNKNOWN, 0.2);
+    s.onSlice(new SliceKey("j-1", 0), CoreStories.claimed("n-1", 1), 6, 0.21);
+    s.onReport(CoreStories.report("n-1", 1, 2, 1), 0.25);
+    assertThat(s.ordersFor(CoreStories.report("n-1", 1, 2, 1), 0.25)).isEmpty();
+    assertThat(CoreStories.launches(s)).isZero();
+    CoreStories.commitAll(s, 7, 0.3);
+    assertThat(CoreStories.writes(s)).isPositive(); // It goes back to the queue.
+  }
+
   @Test
   void aLaunchThatIsHeldBackIsFencedBeforeItsJobIsOver() {
     SimWorld w = world(9);
