Keep leases alive without an owner while the state service is away for all

Any node may now answer reports under the worker's own term without orders, if every other has promised not to take over.

--- a/src/main/java/graderelay/mesh/MeshApi.java
+++ b/src/main/java/graderelay/mesh/MeshApi.java
@@ -48,6 +48,8 @@
             state.failingFor() == 0 && loop.now() - state.lastOk() < Constants.REACHES_S;
         answer(e, MeshCodec.promised(granted, reaches));
       }
+      case MeshCodec.KEEP ->
+          answer(e, MeshCodec.promised(ownership.promiseKeep(n.path("seconds").asDouble()), false));
       case MeshCodec.HANDOVER -> {
         ownership.takeHandover(
             n.path("member").asText(), n.path("term").asLong(), n.path("hold").asLong());
--- a/src/main/java/graderelay/service/Constants.java
+++ b/src/main/java/graderelay/service/Constants.java
@@ -219,6 +219,24 @@
   /** Seconds between requests for promises. */
   public static final double PROMISE_EVERY_S = 0.4;
 
+  /**
+   * Seconds for which a peer promises not to take over while leases are kept alive without an
+   * owner. A restarted node waits as long before it takes over, so it is short.
+   */
+  public static final double KEEP_S = 1.2;
+
+  /** Seconds between requests for such promises. */
+  public static final double KEEP_EVERY_S = 0.3;
+
+  /** Seconds before the end of such a promise at which it counts as over. */
+  public static final double KEEP_MARGIN_S = 0.1;
+
+  /** Seconds of failing calls after which a node takes the state service for away. */
+  public static final double KEEP_AFTER_S = 0.5;
+
+  /** Seconds since a worker last asked for which the promises are kept up. */
+  public static final double KEEP_WANTED_S = 10;
+
   /** Seconds of failing renewals after which a peer that is served better gets the fleet. */
   public static final double HANDOVER_S = 0.8;
 
--- a/src/main/java/graderelay/state/Ownership.java
+++ b/src/main/java/graderelay/state/Ownership.java
@@ -61,6 +61,13 @@
   /** What each peer promised, until when on our clock. */
   private final Map<String, Double> promised = new HashMap<>();
 
+  /** Promises to peers that keep leases alive, and theirs to us. */
+  private double keepBefore;
+
+  private final Map<String, Double> keepPromised = new HashMap<>();
+  private double lastWant = Double.NEGATIVE_INFINITY;
+  private boolean askingKeep;
+
   private final MeshClient mesh;
 
   public Ownership(
@@ -83,6 +90,7 @@
     this.mesh = mesh;
     this.holdS = leaseS * Constants.HOLD_OF_LEASE;
     // An earlier process of this member may have made a promise just before it ended.
+    this.keepBefore = loop.now() + Constants.KEEP_S * (1 + Constants.DRIFT);
     this.notBefore = loop.now() + Constants.PROMISE_S * (1 + Constants.DRIFT);
   }
 
@@ -99,9 +107,14 @@
   }
 
   private double promisedUntil() {
+    return earliest(promised);
+  }
+
+  /** The end of the first promise to end, if every peer has made one. */
+  private double earliest(Map<String, Double> promises) {
     double until = Double.POSITIVE_INFINITY;
     for (Settings.Peer p : mesh.peers()) {
-      until = Math.min(until, promised.getOrDefault(p.member(), Double.NEGATIVE_INFINITY));
+      until = Math.min(until, promises.getOrDefault(p.member(), Double.NEGATIVE_INFINITY));
     }
     return mesh.peers().isEmpty() ? Double.NEGATIVE_INFINITY : until;
   }
@@ -250,7 +263,63 @@
   }
 
   private double barredUntil(boolean ours) {
-    return ours ? standBackUntil : notBefore;
+    return Math.max(keepBefore, ours ? standBackUntil : notBefore);
+  }
+
+  /**
+   * True if this node may keep workers' leases alive although nobody owns the fleet: it can't reach
+   * the state service, and every other controller has just promised not to take over. So there is
+   * no owner and none can come meanwhile, and what runs is only kept from dying: no order is given.
+   */
+  public boolean keeping() {
+    return !owner && stateAway() && loop.now() < earliest(keepPromised);
+  }
+
+  private boolean stateAway() {
+    return state.failingFor() > Constants.KEEP_AFTER_S;
+  }
+
+  /** A worker asks for us while nobody owns the fleet: sees whether its lease can be kept alive. */
+  public void wantKeep() {
+    lastWant = loop.now();
+    if (!askingKeep && !owner && stateAway()) {
+      askKeep();
+    }
+  }
+
+  private void askKeep() {
+    askingKeep =
+        !closed && !owner && stateAway() && loop.now() - lastWant < Constants.KEEP_WANTED_S;
+    if (!askingKeep) {
+      return;
+    }
+    double sentAt = loop.now();
+    for (Settings.Peer p : mesh.peers()) {
+      mesh.send(
+          p.address(),
+          MeshCodec.keep(member, Constants.KEEP_S),
+          mesh.timeoutS(),
+          n -> {
+            if (n != null && n.path("granted").asBoolean()) {
+              keepPromised.put(
+                  p.member(),
+                  sentAt + Constants.KEEP_S * (1 - Constants.DRIFT) - Constants.KEEP_MARGIN_S);
+            }
+          });
+    }
+    loop.after(Constants.KEEP_EVERY_S, this::askKeep);
+  }
+
+  /**
+   * A peer wants to keep leases alive; refused if we own the fleet or could take over ourselves.
+   */
+  public boolean promiseKeep(double seconds) {
+    boolean reaches = state.failingFor() == 0 && loop.now() - state.lastOk() < Constants.REACHES_S;
+    if (owner || closed || reaches) {
+      return false;
+    }
+    keepBefore = Math.max(keepBefore, loop.now() + seconds * (1 + Constants.DRIFT));
+    return true;
   }
 
   private void take() {
--- a/src/main/java/graderelay/wire/MeshCodec.java
+++ b/src/main/java/graderelay/wire/MeshCodec.java
@@ -8,6 +8,7 @@
 /** What passes between controllers. */
 public final class MeshCodec {
   public static final String PROMISE = "promise";
+  public static final String KEEP = "keep";
   public static final String HANDOVER = "handover";
   public static final String REPORT = "report";
   public static final String USER = "user";
@@ -28,6 +29,11 @@
         .put("seconds", seconds);
   }
 
+  /** Asks a peer not to take over while the sender keeps workers' leases alive. */
+  public static ObjectNode keep(String member, double seconds) {
+    return Json.object().put("kind", KEEP).put("member", member).put("seconds", seconds);
+  }
+
   /** {@code reaches}: the peer has the state service's ear while the asker has not. */
   public static ObjectNode promised(boolean granted, boolean reaches) {
     return Json.object().put("granted", granted).put("reaches", reaches);
--- a/src/main/java/graderelay/worker/WorkerApi.java
+++ b/src/main/java/graderelay/worker/WorkerApi.java
@@ -57,6 +57,12 @@
       answer(r, e.to());
       return;
     }
+    if (ownership.keeping() && r.term() > 0) {
+      // Under the worker's own term and without an order: its lease goes on, and nothing else.
+      e.to().accept(Answer.json(200, Json.write(WorkerCodec.response(r.term(), List.of(), 0))));
+      return;
+    }
+    ownership.wantKeep();
     StateCodec.Owner o = cache.owner();
     String address = o == null ? null : mesh.addressOf(o.member());
     Pointed p = pointed.remove(r.machine());
--- a/src/test/java/graderelay/StoriesTest.java
+++ b/src/test/java/graderelay/StoriesTest.java
@@ -253,6 +253,29 @@
     fine(w);
   }
 
+  @Test
+  void whatRunsOutlivesARestartOfAllControllersWithinAnOutage() {
+    SimWorld w = world(25);
+    w.submit(0, w.job("j-000051", 3, 1, 0, false));
+    w.loop.run(15);
+    int starts = w.rules.starts;
+    w.state.outage(true);
+    w.loop.run(3);
+    for (int i = 0; i < 3; i++) {
+      w.crash(i);
+    }
+    w.loop.run(6);
+    for (int i = 0; i < 3; i++) {
+      w.start(i);
+    }
+    w.loop.run(25); // Twice the workers' lease.
+    w.state.outage(false);
+    w.loop.run(20);
+    assertThat(w.owner()).isNotNegative();
+    assertThat(w.rules.starts).isEqualTo(starts);
+    fine(w);
+  }
+
   @Test
   void aReportUnderAnOlderTermProvesNothingAboutAnEarlierOwnersClaim() {
     Scheduler s = CoreStories.takingOver(2);
