--- a/src/main/java/graderelay/state/Ownership.java
+++ b/src/main/java/graderelay/state/Ownership.java
@@ -523,6 +523,9 @@
 
   /** Looks at our own entitlement; to be called now and then. */
   public void tick() {
+    if (!owner && stateAway()) {
+      wantKeep(); // Before a worker asks: it may have few seconds left, and tries a node each.
+    }
     if (owner && !entitled()) {
       lose("the hold could not be renewed in time");
     }
