--- a/src/main/java/graderelay/service/Constants.java
+++ b/src/main/java/graderelay/service/Constants.java
@@ -214,22 +214,25 @@
    * Seconds for which a peer promises not to take over, while the owner can't renew its hold. A
    * restarted node waits as long, since it may have forgotten a promise.
    */
-  public static final double PROMISE_S = 2.0;
+  public static final double PROMISE_S = 1.0;
 
   /** Seconds between requests for promises. */
-  public static final double PROMISE_EVERY_S = 0.4;
+  public static final double PROMISE_EVERY_S = 0.3;
 
   /**
    * Seconds for which a peer promises not to take over while leases are kept alive without an
    * owner. A restarted node waits as long before it takes over, so it is short.
    */
-  public static final double KEEP_S = 1.2;
+  public static final double KEEP_S = 0.6;
 
   /** Seconds between requests for such promises. */
-  public static final double KEEP_EVERY_S = 0.3;
+  public static final double KEEP_EVERY_S = 0.2;
 
-  /** Seconds before the end of such a promise at which it counts as over. */
-  public static final double KEEP_MARGIN_S = 0.1;
+  /** Seconds after the end of a promise at which a node tries to take over. */
+  public static final double AFTER_BAR_S = 0.005;
+
+  /** Seconds before the end of a promise at which it counts as over. */
+  public static final double KEEP_MARGIN_S = 0.05;
 
   /** Seconds of failing calls after which a node takes the state service for away. */
   public static final double KEEP_AFTER_S = 0.5;
--- a/src/main/java/graderelay/state/Ownership.java
+++ b/src/main/java/graderelay/state/Ownership.java
@@ -160,7 +160,7 @@
             if (n.path("granted").asBoolean()) {
               promised.put(
                   p.member(),
-                  sentAt + Constants.PROMISE_S * (1 - Constants.DRIFT) - Constants.HOLD_MARGIN_S);
+                  sentAt + Constants.PROMISE_S * (1 - Constants.DRIFT) - Constants.KEEP_MARGIN_S);
             }
             boolean alone =
                 n.path("reaches").asBoolean()
@@ -326,10 +326,12 @@
     // If the last owner was an earlier process of ours, nobody else can rely on a promise. The
     // transaction is conditioned on the term record that says so.
     boolean ours = member.equals(cache.termMember());
-    if (cache.owner() != null || loop.now() < barredUntil(ours)) {
-      if (cache.owner() == null) {
-        again();
-      }
+    if (cache.owner() != null) {
+      return;
+    }
+    double barred = barredUntil(ours) - loop.now();
+    if (barred > 0) {
+      later(barred + Constants.AFTER_BAR_S, this::consider);
       return;
     }
     trying = true;
