--- a/src/main/java/graderelay/service/Constants.java
+++ b/src/main/java/graderelay/service/Constants.java
@@ -214,10 +214,10 @@
    * Seconds for which a peer promises not to take over, while the owner can't renew its hold. A
    * restarted node waits as long, since it may have forgotten a promise.
    */
-  public static final double PROMISE_S = 1.0;
+  public static final double PROMISE_S = 0.6;
 
   /** Seconds between requests for promises. */
-  public static final double PROMISE_EVERY_S = 0.3;
+  public static final double PROMISE_EVERY_S = 0.2;
 
   /**
    * Seconds for which a peer promises not to take over while leases are kept alive without an
