--- a/src/main/java/graderelay/core/FleetPlanner.java
+++ b/src/main/java/graderelay/core/FleetPlanner.java
@@ -179,7 +179,9 @@
     }
     double there = cpusForArrays(bins);
     stepBack = deadlines.steppingBack(there, now);
-    double needed = deadlines.neededCpus(stepBack, now);
+    // Only what teams' limits make hopeless is left out: a fleet too small for the rest is to grow.
+    Set<Job> hopeless = deadlines.steppingBack(Double.MAX_VALUE, now);
+    double needed = deadlines.neededCpus(hopeless, now);
     dearCpus = Math.max(0, needed - there);
     Map<Pool, Integer> wanted = new HashMap<>();
     Map<String, Double> teamLeft = new HashMap<>();
--- a/src/main/java/graderelay/core/Machine.java
+++ b/src/main/java/graderelay/core/Machine.java
@@ -21,7 +21,6 @@
   /** When it was rented, as far as known. */
   double rentedAt;
 
-  boolean listed;
   boolean reported;
   long session;
   long seq;
--- a/src/main/java/graderelay/core/Policy.java
+++ b/src/main/java/graderelay/core/Policy.java
@@ -12,10 +12,8 @@
     List<Team> teams,
     double reportS,
     double leaseS,
-    double cancelS,
     double listLagS,
     int txnOps,
-    int valueBytes,
     java.util.Map<String, Double> waits,
     java.util.Map<String, List<Double>> waitSteps,
     Tuning tuning) {
@@ -40,7 +38,6 @@
   }
 
   Policy with(Tuning t) {
-    return new Policy(
-        teams, reportS, leaseS, cancelS, listLagS, txnOps, valueBytes, waits, waitSteps, t);
+    return new Policy(teams, reportS, leaseS, listLagS, txnOps, waits, waitSteps, t);
   }
 }
--- a/src/main/java/graderelay/core/Scheduler.java
+++ b/src/main/java/graderelay/core/Scheduler.java
@@ -600,7 +600,6 @@
         m = world.machine(l.name(), now);
         m.rentedAt = now - l.ageS();
       }
-      m.listed = true;
       if (!m.reported) {
         world.locate(m, l.type(), l.zone(), l.spot());
         m.address = l.address();
@@ -1135,8 +1134,4 @@
   public long staleReports() {
     return stale;
   }
-
-  public int machinesUp() {
-    return (int) world.machines.values().stream().filter(m -> m.reported && !m.leaseOver).count();
-  }
 }
--- a/src/main/java/graderelay/service/Metrics.java
+++ b/src/main/java/graderelay/service/Metrics.java
@@ -31,7 +31,6 @@
   private final List<Span> unread = new ArrayList<>();
   private PrometheusMeterRegistry registry;
   private boolean closed;
-  private double worstDelay;
 
   public Metrics(Loop loop) {
     this.loop = loop;
@@ -44,7 +43,6 @@
         Constants.DELAY_PROBE_S,
         () -> {
           span("graderelay.loop.delay", Math.max(0, loop.now() - due));
-          worstDelay = Math.max(worstDelay * 0.9, loop.now() - due);
           if (!closed) {
             start();
           }
@@ -83,10 +81,6 @@
     gauge("graderelay.tokens.waited.seconds", t, m -> b.waitedSeconds());
   }
 
-  double worstDelay() {
-    return worstDelay;
-  }
-
   /** The text that a Prometheus server reads. */
   public String scrape(Map<String, Map<String, Long>> calls, Scheduler core) {
     if (registry == null) {
--- a/src/main/java/graderelay/service/Node.java
+++ b/src/main/java/graderelay/service/Node.java
@@ -109,10 +109,8 @@
         settings.teams(),
         settings.reportS(),
         settings.leaseS(),
-        settings.cancelS(),
         settings.listLagS(),
         settings.txnOps(),
-        (int) (settings.valueKb() * 1024),
         settings.waits(),
         settings.waitSteps(),
         operators.tuning());
--- a/src/test/java/graderelay/CoreStories.java
+++ b/src/test/java/graderelay/CoreStories.java
@@ -38,10 +38,8 @@
             List.of(new Team("team", 8, 24, 0, 0)),
             SimWorld.REPORT_S,
             SimWorld.LEASE_S,
-            SimWorld.CANCEL_S,
             3,
             SimWorld.TXN_OPS,
-            16384,
             Map.of(),
             Map.of(),
             new Policy.Tuning(500, 3, 3, 30, 1, true, false));
