--- a/src/test/java/graderelay/AdminTest.java
+++ b/src/test/java/graderelay/AdminTest.java
@@ -103,6 +103,27 @@
     }
   }
 
+  @Test
+  void theMetricsTellOfCallsTasksAndTheFleet() {
+    SimWorld w = world(6);
+    w.submit(0, w.job("j-000004", 2, 1, 2, true));
+    w.loop.run(20);
+    String[] text = {""};
+    w.nodes[w.owner()].handle(
+        new graderelay.net.Exchange(
+            "GET",
+            "/metrics",
+            "",
+            new byte[0],
+            a -> text[0] = new String(a.body(), java.nio.charset.StandardCharsets.UTF_8)));
+    assertThat(text[0])
+        .contains("graderelay_tasks{outcome=\"done\"} 2.0")
+        .contains("graderelay_fleet{kind=")
+        .contains("graderelay_calls{call=\"multi 200\",service=\"state\"}")
+        .contains("graderelay_queue_wait_seconds_count 2")
+        .contains("graderelay_takeovers");
+  }
+
   @Test
   void aWrongSettingsFileIsRefusedByFieldAndUnknownFieldsAreIgnored() throws Exception {
     String good =
