One piece of code where two said the same

StateClient.reached for the mesh and the owner, leftForArrays for both sums of deadlines, servicesOn for the share of services, Answer.later for 503 and 429, cutOff in stories; a field that nobody read is gone. Behaviour is meant to be the same; all tests pass.

--- a/src/main/java/graderelay/api/UserApi.java
+++ b/src/main/java/graderelay/api/UserApi.java
@@ -58,13 +58,11 @@
   /** A request that is answered once, at the latest when its time is up. */
   private final class Pending {
     final Consumer<Answer> to;
-    final double until;
     private boolean over;
     private final Loop.Timer timer;
 
     Pending(Exchange e, double seconds) {
       this.to = e.to();
-      this.until = loop.now() + seconds;
       this.timer = loop.after(seconds, () -> unavailable("the state service did not answer"));
     }
 
@@ -73,7 +71,7 @@
     }
 
     void unavailable(String why) {
-      send(new Answer(503, Json.error(why), "application/json", Constants.RETRY_AFTER_S, false));
+      send(Answer.later(503, Json.error(why)));
     }
 
     void send(Answer a) {
@@ -101,9 +99,7 @@
   }
 
   public static void unavailable(Exchange e, String why) {
-    e.to()
-        .accept(
-            new Answer(503, Json.error(why), "application/json", Constants.RETRY_AFTER_S, false));
+    e.to().accept(Answer.later(503, Json.error(why)));
   }
 
   /** True while calls to the state service fail: then nothing can be decided here. */
@@ -130,14 +126,7 @@
       return;
     }
     if (submissions >= Constants.MOST_SUBMISSIONS) {
-      e.to()
-          .accept(
-              new Answer(
-                  429,
-                  Json.error("too many submissions at once"),
-                  "application/json",
-                  Constants.RETRY_AFTER_S,
-                  false));
+      e.to().accept(Answer.later(429, Json.error("too many submissions at once")));
       return;
     }
     submissions++;
--- a/src/main/java/graderelay/core/Deadlines.java
+++ b/src/main/java/graderelay/core/Deadlines.java
@@ -65,22 +65,15 @@
    */
   Set<Job> steppingBack(double fleetCpus, double now) {
     Map<String, List<Part>> teams = new HashMap<>();
-    Map<String, Double> services = new HashMap<>();
     for (Job j : world.jobs.values()) {
       JobSpec s = j.spec;
-      if (s.isService()) {
-        services.merge(s.team(), j.claims.size() * s.cpus(), Double::sum);
-      } else if (s.deadlineS() != null && !j.stop && !j.complete()) {
+      if (!s.isService() && s.deadlineS() != null && !j.stop && !j.complete()) {
         teams.computeIfAbsent(s.team(), t -> new ArrayList<>()).add(part(j, now));
       }
     }
     Set<Job> back = new HashSet<>();
     for (var e : teams.entrySet()) {
-      Team team = world.policy.team(e.getKey());
-      double rate = fleetCpus;
-      if (team != null && team.cpusMax() > 0) {
-        rate = Math.min(rate, team.cpusMax() - services.getOrDefault(e.getKey(), 0.0));
-      }
+      double rate = Math.min(fleetCpus, leftForArrays(e.getKey()));
       if (rate > 0) {
         stepBack(e.getValue(), rate, now, back);
       }
@@ -88,6 +81,21 @@
     return back;
   }
 
+  /** CPUs that a team's limit leaves beside its services; without a limit, any number. */
+  private double leftForArrays(String team) {
+    Team t = world.policy.team(team);
+    if (t == null || t.cpusMax() <= 0) {
+      return Double.MAX_VALUE;
+    }
+    double left = t.cpusMax();
+    for (Job j : world.jobs.values()) {
+      if (j.spec.isService() && j.spec.team().equals(team)) {
+        left -= j.claims.size() * j.spec.cpus();
+      }
+    }
+    return left;
+  }
+
   private Part part(Job j, double now) {
     double estimate = estimate(j.spec);
     double due = j.submittedAt + j.spec.deadlineS() - Constants.DEADLINE_MARGIN_S;
@@ -134,13 +142,9 @@
     double running = 0;
     List<Due> all = new ArrayList<>();
     Map<String, List<Due>> byTeam = new HashMap<>();
-    Map<String, Double> services = new HashMap<>();
     double total = 0;
     for (Job j : world.jobs.values()) {
       JobSpec s = j.spec;
-      if (s.isService()) {
-        services.merge(s.team(), j.claims.size() * s.cpus(), Double::sum);
-      }
       if (!patient(s) || j.stop) {
         continue;
       }
@@ -156,13 +160,8 @@
     }
     double capped = 0;
     for (var e : byTeam.entrySet()) {
-      Team t = world.policy.team(e.getKey());
-      double need = press(e.getValue(), now);
       // More than the team's limit leaves would stand idle.
-      capped +=
-          t == null || t.cpusMax() <= 0
-              ? need
-              : Math.min(need, t.cpusMax() - services.getOrDefault(e.getKey(), 0.0));
+      capped += Math.min(press(e.getValue(), now), leftForArrays(e.getKey()));
     }
     double need = Math.min(press(all, now), capped);
     return Math.max(need, Math.min(running, total / Constants.PATIENT_S)) / Constants.PACKING;
--- a/src/main/java/graderelay/core/FleetPlanner.java
+++ b/src/main/java/graderelay/core/FleetPlanner.java
@@ -231,11 +231,7 @@
         continue;
       }
       sum += t.cpus();
-      if (b.machine != null) {
-        for (Claim c : b.machine.claims.values()) {
-          sum -= c.job.spec.isService() ? c.job.spec.cpus() : 0;
-        }
-      }
+      sum -= b.machine == null ? 0 : serviceCpus(b.machine);
     }
     return sum;
   }
@@ -291,11 +287,7 @@
   }
 
   private static double serviceCpus(Machine m) {
-    double sum = 0;
-    for (Claim c : m.claims.values()) {
-      sum += c.job.spec.isService() ? c.job.spec.cpus() : 0;
-    }
-    return sum;
+    return servicesOn(m).cpus();
   }
 
   /** Money an hour that the machine costs beyond what its services would cost elsewhere. */
--- a/src/main/java/graderelay/core/Machine.java
+++ b/src/main/java/graderelay/core/Machine.java
@@ -84,7 +84,8 @@
   /** Images this machine has fetched, by last use; a guess that only guides placement. */
   final LinkedHashMap<String, Double> images = new LinkedHashMap<>(16, 0.75f, true);
 
-  final Map<String, Double> fetching = new HashMap<>();
+  /** Images that a task here waits for, as of the last report. */
+  final Set<String> fetching = new HashSet<>();
 
   Machine(String name, double now) {
     this.name = name;
@@ -120,6 +121,6 @@
 
   /** True if a task here waits for the image, so that a second one joins the same fetch. */
   boolean fetches(String image) {
-    return fetching.containsKey(image);
+    return fetching.contains(image);
   }
 }
--- a/src/main/java/graderelay/core/Scheduler.java
+++ b/src/main/java/graderelay/core/Scheduler.java
@@ -243,7 +243,7 @@
     for (Report.Entry e : r.tasks()) {
       Claim c = m.claims.get(e.task());
       if (c != null && e.stage() == Report.Stage.FETCHING) {
-        m.fetching.put(c.job.spec.image(), now);
+        m.fetching.add(c.job.spec.image());
       } else if (c != null && (e.why().isEmpty() || e.why().equals("done"))) {
         m.learnImage(c.job.spec.image(), now);
       }
--- a/src/main/java/graderelay/mesh/MeshApi.java
+++ b/src/main/java/graderelay/mesh/MeshApi.java
@@ -4,8 +4,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import graderelay.net.Exchange;
 import graderelay.net.Exchange.Answer;
-import graderelay.net.Loop;
-import graderelay.service.Constants;
 import graderelay.state.Ownership;
 import graderelay.state.StateClient;
 import graderelay.wire.Json;
@@ -15,19 +13,16 @@
 
 /** Answers the other controllers. */
 public final class MeshApi {
-  private final Loop loop;
   private final Ownership ownership;
   private final StateClient state;
   private final BiConsumer<byte[], Consumer<Answer>> reports;
   private final Exchange.Handler users;
 
   public MeshApi(
-      Loop loop,
       Ownership ownership,
       StateClient state,
       BiConsumer<byte[], Consumer<Answer>> reports,
       Exchange.Handler users) {
-    this.loop = loop;
     this.ownership = ownership;
     this.state = state;
     this.reports = reports;
@@ -44,9 +39,7 @@
         boolean granted =
             ownership.promise(
                 n.path("member").asText(), n.path("term").asLong(), n.path("seconds").asDouble());
-        boolean reaches =
-            state.failingFor() == 0 && loop.now() - state.lastOk() < Constants.REACHES_S;
-        answer(e, MeshCodec.promised(granted, reaches));
+        answer(e, MeshCodec.promised(granted, state.reached()));
       }
       case MeshCodec.KEEP ->
           answer(e, MeshCodec.promised(ownership.promiseKeep(n.path("seconds").asDouble()), false));
--- a/src/main/java/graderelay/net/Exchange.java
+++ b/src/main/java/graderelay/net/Exchange.java
@@ -1,5 +1,6 @@
 package graderelay.net;
 
+import graderelay.service.Constants;
 import java.util.function.Consumer;
 
 /** A request that came in, and the way to answer it once. */
@@ -14,6 +15,11 @@
     public static Answer json(int status, byte[] body) {
       return new Answer(status, body, "application/json", 0, false);
     }
+
+    /** Not now: tells when to come back. */
+    public static Answer later(int status, byte[] body) {
+      return new Answer(status, body, "application/json", Constants.RETRY_AFTER_S, false);
+    }
   }
 
   /** Takes requests in. */
--- a/src/main/java/graderelay/service/Node.java
+++ b/src/main/java/graderelay/service/Node.java
@@ -97,7 +97,7 @@
             this::core,
             this::ready);
     this.hedge = new Hedge(loop, mesh);
-    this.meshApi = new MeshApi(loop, ownership, state, reports::relayed, this::handleRelayed);
+    this.meshApi = new MeshApi(ownership, state, reports::relayed, this::handleRelayed);
   }
 
   private static int mostSlice(Settings s) {
--- a/src/main/java/graderelay/state/Ownership.java
+++ b/src/main/java/graderelay/state/Ownership.java
@@ -314,8 +314,7 @@
    * A peer wants to keep leases alive; refused if we own the fleet or could take over ourselves.
    */
   public boolean promiseKeep(double seconds) {
-    boolean reaches = state.failingFor() == 0 && loop.now() - state.lastOk() < Constants.REACHES_S;
-    if (owner || closed || reaches) {
+    if (owner || closed || state.reached()) {
       return false;
     }
     keepBefore = Math.max(keepBefore, loop.now() + seconds * (1 + Constants.DRIFT));
--- a/src/main/java/graderelay/state/StateClient.java
+++ b/src/main/java/graderelay/state/StateClient.java
@@ -104,6 +104,11 @@
     return Double.isNaN(firstFailure) ? 0 : loop.now() - firstFailure;
   }
 
+  /** True if the service serves this node: its last call went well, a moment ago. */
+  public boolean reached() {
+    return failingFor() == 0 && loop.now() - lastOk < Constants.REACHES_S;
+  }
+
   public TokenBucket requestTokens() {
     return requests;
   }
--- a/src/test/java/graderelay/StoriesTest.java
+++ b/src/test/java/graderelay/StoriesTest.java
@@ -185,9 +185,7 @@
     w.loop.run(15);
     String machine = runner(w, "j-000008/0");
     w.crash(w.owner());
-    for (int i = 0; i < 3; i++) {
-      w.net.cut("c" + i, machine);
-    }
+    w.cutOff(machine);
     double cutAt = w.loop.now();
     int starts = w.rules.starts;
     while (w.rules.starts == starts && w.loop.now() < cutAt + 60) {
@@ -205,9 +203,7 @@
     w.submit(0, j);
     w.loop.run(20);
     String machine = runner(w, "j-000020/0");
-    for (int i = 0; i < 3; i++) {
-      w.net.cut("c" + i, machine);
-    }
+    w.cutOff(machine);
     w.loop.run(SimWorld.LEASE_S - 2);
     assertThat(w.cloud.names()).doesNotContain(machine); // Deleted, which proves the task gone.
     w.loop.run(15);
@@ -394,9 +390,7 @@
     w.submit(0, w.job("j-000013", 20, 4, 10, true));
     w.loop.run(10);
     String machine = w.workers.keySet().iterator().next();
-    for (int i = 0; i < 3; i++) {
-      w.net.cut("c" + i, machine);
-    }
+    w.cutOff(machine);
     w.loop.run(60);
     fine(w);
   }
--- a/src/test/java/graderelay/sim/SimWorld.java
+++ b/src/test/java/graderelay/sim/SimWorld.java
@@ -141,6 +141,13 @@
     workers.put(name, new SimWorker(this, name, type, zone, spot, REPORT_S, LEASE_S, apis));
   }
 
+  /** No controller reaches the machine any more, nor it them. */
+  public void cutOff(String machine) {
+    for (int i = 0; i < 3; i++) {
+      net.cut("c" + i, machine);
+    }
+  }
+
   /** The controller that owns the fleet, or -1. */
   public int owner() {
     for (int i = 0; i < 3; i++) {
