A machine is deaf by what its worker does, not by the time between its reports

Cause: a report that came 4 s or more after the one before was taken for a sign that our answer had not arrived.

Now: a worker that took an answer stays with the controller that gave it, so a next report that comes to another controller shows one that did not; so do a start or a term of our answer that a later report lacks, and a session that ends right after an answer. Gateways say through whom a report came, and pass on the report of a worker that knows the owner's term although it was pointed to the owner long ago.

Ruled out: a larger number alone; it would be confused by the next deployment's interval. Stories at intervals of 2 to 6 s; the model test draws intervals, leases, machines and zones.

--- a/src/main/java/graderelay/core/Machine.java
+++ b/src/main/java/graderelay/core/Machine.java
@@ -36,10 +36,16 @@
    */
   double sessionSeen = Double.NEGATIVE_INFINITY;
 
+  /** The controller that its last report came to: the owner itself, or one that passed it on. */
+  String via = "";
+
+  /** That report was answered and not a copy, so its worker stays there if it hears us. */
+  boolean answeredThere;
+
   /** The session is over in any case: its lease has run out, counted safely. */
   boolean leaseOver;
 
-  /** Since when its reports come but answers seem not to reach it, or null. */
+  /** Since when its reports come but answers do not reach it, or null. */
   Double deafSince;
 
   Double noticeAt;
--- a/src/main/java/graderelay/core/Proof.java
+++ b/src/main/java/graderelay/core/Proof.java
@@ -29,7 +29,13 @@
   /** Machines whose deletion was answered, the last of them. */
   final Set<String> dropped = new LinkedHashSet<>();
 
-  boolean takeReport(Report r, boolean checkin, double now) {
+  /**
+   * Takes what a worker says of itself.
+   *
+   * @param via the controller that its report came to, or null for an answer to a direct order
+   */
+  boolean takeReport(Report r, String via, double now) {
+    boolean checkin = via != null;
     if (dropped.contains(r.machine())) {
       return false; // Held back on the way: the cloud has said that the machine is gone.
     }
@@ -51,7 +57,7 @@
       m.sessionSeen = now;
       m.neverReap.clear(); // Late orders name their session and are refused now.
     }
-    hears(m, r, checkin, first, now);
+    hears(m, r, via, first, now);
     m.reported = true;
     m.leaseOver = false;
     m.address = r.address();
@@ -60,6 +66,10 @@
     m.seenTerm = Math.max(m.seenTerm, r.term());
     m.lastReport = now;
     m.failedPokes = 0;
+    if (checkin) {
+      m.via = via;
+      m.answeredThere = false;
+    }
     m.last = r;
     m.fetching.clear();
     if (first) {
@@ -94,25 +104,56 @@
 
   /**
    * Does the machine hear us? A report alone doesn't show it: its answers may be lost, and it may
-   * be a copy of the past. A worker that got no answer waits out its time before the next report,
-   * so the one after it comes late with the very next sequence.
+   * be a copy of the past. Nor does the time between two reports, which the deployment chooses and
+   * which may be as long as a worker's wait for an answer. What its worker does shows it: one that
+   * took an answer stays with that controller, and one that got none goes to the next.
    */
-  private void hears(Machine m, Report r, boolean checkin, boolean first, double now) {
-    boolean direct = !checkin;
-    boolean next = !first && r.session() == m.session && r.seq() == m.seq + 1;
-    double gap = now - m.lastReport;
-    if (direct || (next && gap < Constants.UNHEARD_GAP_S) || r.term() > m.seenTerm) {
+  private void hears(Machine m, Report r, String via, boolean first, double now) {
+    if (first) {
+      return;
+    }
+    boolean same = r.session() == m.session;
+    // No other report and no answer to an order lies between; beyond that nothing is known of it.
+    boolean next = same && r.seq() == m.seq + 1;
+    String why = null;
+    if (via != null && m.answeredThere) {
+      if (next && !via.equals(m.via)) {
+        why = "it went to another controller after our answer";
+      } else if (same && r.term() < world.firstTerm) {
+        why = "it doesn't know the term of our answer";
+      } else if (same && ignoresLaunch(m, r)) {
+        why = "it doesn't show what our answer told it to start";
+      } else if (r.session() > m.session && now - m.lastAnswered < world.policy.leaseS() / 2) {
+        why = "its lease ran out although we had just answered";
+      }
+    }
+    boolean took = via == null || r.term() > m.seenTerm || (next && m.answeredThere);
+    if (why == null && took) {
       if (m.deafSince != null) {
         world.note("machine " + m.name + " hears us again");
       }
       m.deafSince = null;
-    } else if (m.deafSince == null
-        && m.lastAnswered >= m.lastReport
-        && (next || (!first && r.session() > m.session && gap < world.policy.leaseS() / 2))) {
-      // Or its lease ran out although we had just answered.
+    } else if (why != null && m.deafSince == null) {
       m.deafSince = now;
-      world.note("machine " + m.name + " seems not to hear us: its next report came late");
+      world.note("machine " + m.name + " does not hear us: " + why);
+    }
+  }
+
+  /** True if a start that went with the answer to an earlier report is not in this one. */
+  private boolean ignoresLaunch(Machine m, Report r) {
+    Map<String, Report.Entry> shown = null;
+    for (Claim c : m.claims.values()) {
+      if (c.launch == Claim.Launch.IN_RESPONSE
+          && c.phase == Claim.Phase.HELD
+          && c.session == r.session()
+          && r.seq() > c.launchSeq) {
+        shown = shown == null ? shown(r) : shown;
+        if (!shown.containsKey(reapKey(c.taskId(), c.attempt))) {
+          return true;
+        }
+      }
     }
+    return false;
   }
 
   private static Map<String, Report.Entry> shown(Report r) {
@@ -258,6 +299,7 @@
     Machine m = world.machines.get(machine);
     if (m != null) {
       m.lastAnswered = now;
+      m.answeredThere = true;
     }
   }
 
@@ -328,7 +370,7 @@
       }
     }
     if (report != null && report.machine().equals(cmd.machine())) {
-      takeReport(report, false, now);
+      takeReport(report, null, now);
     }
   }
 }
--- a/src/main/java/graderelay/core/Scheduler.java
+++ b/src/main/java/graderelay/core/Scheduler.java
@@ -125,7 +125,12 @@
    * @return false if it is a copy of the past, which proves nothing and renews nothing
    */
   public boolean onReport(Report r, double now) {
-    return proof.takeReport(r, true, now);
+    return onReport(r, "", now);
+  }
+
+  /** The same for a report that came to another controller, or to this one if {@code via} is "". */
+  public boolean onReport(Report r, String via, double now) {
+    return proof.takeReport(r, via, now);
   }
 
   /** The worker's lease cannot begin later than this answer. */
--- a/src/main/java/graderelay/mesh/MeshApi.java
+++ b/src/main/java/graderelay/mesh/MeshApi.java
@@ -8,21 +8,21 @@
 import graderelay.state.StateClient;
 import graderelay.wire.Json;
 import graderelay.wire.MeshCodec;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 /** Answers the other controllers. */
 public final class MeshApi {
+  /** Takes a worker's report that came to another controller. */
+  public interface Relayed {
+    void accept(String via, byte[] body, Consumer<Answer> to);
+  }
+
   private final Ownership ownership;
   private final StateClient state;
-  private final BiConsumer<byte[], Consumer<Answer>> reports;
+  private final Relayed reports;
   private final Exchange.Handler users;
 
-  public MeshApi(
-      Ownership ownership,
-      StateClient state,
-      BiConsumer<byte[], Consumer<Answer>> reports,
-      Exchange.Handler users) {
+  public MeshApi(Ownership ownership, StateClient state, Relayed reports, Exchange.Handler users) {
     this.ownership = ownership;
     this.state = state;
     this.reports = reports;
@@ -52,7 +52,8 @@
         answer(e, Json.object());
       }
       case MeshCodec.REPORT ->
-          reports.accept(MeshCodec.bytes(n), a -> answer(e, MeshCodec.answer(a)));
+          reports.accept(
+              n.path("member").asText(), MeshCodec.bytes(n), a -> answer(e, MeshCodec.answer(a)));
       case MeshCodec.USER, MeshCodec.ADMIN ->
           users.handle(
               new Exchange(
--- a/src/main/java/graderelay/service/Constants.java
+++ b/src/main/java/graderelay/service/Constants.java
@@ -82,12 +82,6 @@
   /** Seconds between raises of the term: workers take a higher one at most twice a lease. */
   public static final double RAISE_PAUSE_S = 8;
 
-  /**
-   * Seconds after which a worker's next report shows that the one before got no answer: it waits 4
-   * s for one and 1 s more, by the protocol.
-   */
-  public static final double UNHEARD_GAP_S = 4.0;
-
   /**
    * Orders sent straight to workers in a second: each may cost a connection, about a millisecond of
    * a third of a core, so this many take about a tenth of it.
--- a/src/main/java/graderelay/service/FleetDuty.java
+++ b/src/main/java/graderelay/service/FleetDuty.java
@@ -142,9 +142,9 @@
   }
 
   /** Takes a report and returns the orders for its response; the caller has checked our hold. */
-  List<Order> onReport(Report r) {
+  List<Order> onReport(Report r, String via) {
     double now = loop.now();
-    boolean fresh = core.onReport(r, now);
+    boolean fresh = core.onReport(r, via, now);
     if (core.staleReports() > stale) {
       stale = core.staleReports();
       metrics.count("graderelay.dropped", "what", "stale report");
--- a/src/main/java/graderelay/service/Node.java
+++ b/src/main/java/graderelay/service/Node.java
@@ -91,7 +91,7 @@
     this.cloud = new CloudClient(loop, transport, s.cloudAddress(), s.cloudRps());
     this.workers = new WorkerClient(transport);
     this.users = new UserApi(loop, state, cache, s, () -> types, () -> operators.sliceCap());
-    this.reports = new WorkerApi(loop, ownership, cache, mesh, this::onReport);
+    this.reports = new WorkerApi(loop, ownership, cache, mesh, s.member(), this::onReport);
     this.admin =
         new AdminApi(
             loop,
@@ -208,10 +208,10 @@
     return duty == null ? null : duty.core();
   }
 
-  private List<Order> onReport(Report r) {
+  private List<Order> onReport(Report r, String via) {
     // An owner that is still reading the records keeps leases alive, and orders nothing: it counts
     // them from when its duty begins, which is later.
-    return duty == null ? List.of() : duty.onReport(r);
+    return duty == null ? List.of() : duty.onReport(r, via);
   }
 
   // ---------------------------------------------------------------- requests
--- a/src/main/java/graderelay/wire/MeshCodec.java
+++ b/src/main/java/graderelay/wire/MeshCodec.java
@@ -48,6 +48,11 @@
         .put("hold", hold);
   }
 
+  /** Passes on a worker's report that came to this member. */
+  public static ObjectNode report(String member, byte[] body) {
+    return Json.object().put("kind", REPORT).put("member", member).put("body", body);
+  }
+
   /** Passes a request on. */
   public static ObjectNode request(String kind, String method, String path, byte[] body) {
     return Json.object()
--- a/src/main/java/graderelay/worker/WorkerApi.java
+++ b/src/main/java/graderelay/worker/WorkerApi.java
@@ -16,8 +16,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiFunction;
 import java.util.function.Consumer;
-import java.util.function.Function;
 
 /**
  * Takes workers' reports: the owner answers them while it holds the fleet, the others point to it.
@@ -31,7 +31,8 @@
   private final Ownership ownership;
   private final Cache cache;
   private final MeshClient mesh;
-  private final Function<Report, List<Order>> fleet;
+  private final String member;
+  private final BiFunction<Report, String, List<Order>> fleet;
   private final Map<String, Pointed> pointed = new LinkedHashMap<>();
 
   public WorkerApi(
@@ -39,11 +40,13 @@
       Ownership ownership,
       Cache cache,
       MeshClient mesh,
-      Function<Report, List<Order>> fleet) {
+      String member,
+      BiFunction<Report, String, List<Order>> fleet) {
     this.loop = loop;
     this.ownership = ownership;
     this.cache = cache;
     this.mesh = mesh;
+    this.member = member;
     this.fleet = fleet;
   }
 
@@ -54,7 +57,7 @@
       return;
     }
     if (ownership.owner()) {
-      answer(r, e.to());
+      answer(r, "", e.to());
       return;
     }
     if (ownership.keeping() && r.term() > 0) {
@@ -75,8 +78,10 @@
     }
     boolean back = p != null && now - p.at() < Constants.RELAY_MEMORY_S;
     // A worker with the owner's own term was answered by it before: it is here since the owner no
-    // longer answers, and to point it back would cost it half its lease.
-    back |= p == null && o != null && r.term() >= o.term();
+    // longer answers, and to point it back would cost it half its lease. That it was pointed there
+    // long ago, before it was answered, is no reason to do so again.
+    boolean longAgo = p == null || (!back && p.relayedSince() == Double.POSITIVE_INFINITY);
+    back |= longAgo && o != null && r.term() >= o.term();
     boolean longEnough = back && p != null && now - p.relayedSince() > Constants.RELAY_FOR_S;
     if (address == null || !back || longEnough) {
       if (address != null) {
@@ -92,7 +97,7 @@
     }
     mesh.send(
         address,
-        MeshCodec.request(MeshCodec.REPORT, "POST", "/checkin", e.body()),
+        MeshCodec.report(member, e.body()),
         mesh.timeoutS(),
         n -> {
           Answer a = MeshCodec.answer(n);
@@ -105,17 +110,17 @@
   }
 
   /** A report that another controller passes on. */
-  public void relayed(byte[] body, Consumer<Answer> to) {
+  public void relayed(String via, byte[] body, Consumer<Answer> to) {
     Report r = WorkerCodec.report(Json.read(body));
     if (r == null) {
       to.accept(Answer.json(400, Json.error("not a report")));
     } else {
-      answer(r, to);
+      answer(r, via, to);
     }
   }
 
-  private void answer(Report r, Consumer<Answer> to) {
-    List<Order> orders = ownership.entitled() ? fleet.apply(r) : null;
+  private void answer(Report r, String via, Consumer<Answer> to) {
+    List<Order> orders = ownership.entitled() ? fleet.apply(r, via) : null;
     if (orders == null) {
       elsewhere(to, null);
       return;
--- /dev/null
+++ b/src/test/java/graderelay/FleetStoriesTest.java
@@ -0,0 +1,94 @@
+package graderelay;
+
+import static graderelay.StoryWords.fine;
+import static graderelay.StoryWords.runner;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import graderelay.core.Action;
+import graderelay.core.Scheduler;
+import graderelay.sim.SimWorld;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Short stories of the troubles that came with fleets of a thousand machines. */
+class FleetStoriesTest {
+  private static SimWorld world(long seed, SimWorld.Shape shape) {
+    SimWorld w = new SimWorld(seed, shape);
+    w.loop.run(4);
+    assertThat(w.owner()).isNotNegative();
+    return w;
+  }
+
+  // ---------------------------------------------------------------- machines that hear nothing
+
+  @Test
+  void aReportThatComesAsLateAsItsIntervalAllowsIsNoSignOfDeafness() {
+    Scheduler s = CoreStories.scheduler(1);
+    CoreStories.machine(s, "n-1", 1, 1, 0);
+    CoreStories.machine(s, "n-1", 1, 2, 4.4); // Its worker stays with us: it took our answer.
+    s.onJob(CoreStories.array("j-1", 1), false, 5, 4.5, 4.5);
+    CoreStories.commitAll(s, 10, 4.6);
+    assertThat(CoreStories.claimsOf(s, "n-1")).isEqualTo(1);
+    assertThat(CoreStories.notes(s)).noneMatch(n -> n.contains("does not hear us"));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"2, 12, 3", "2.5, 16, 5", "4, 22, 3", "4, 22, 5", "6, 30, 5"})
+  void atEveryIntervalADeafMachineIsFoundAndNoOtherIsTakenForOne(
+      double reportS, double leaseS, int size) {
+    SimWorld w = world(51, SimWorld.Shape.of(size).workers(reportS, leaseS));
+    w.submit(0, w.job("j-000100", 2, 2, 0, false));
+    w.submit(1, w.job("j-000101", 4, 3, 300, false));
+    w.loop.run(30 + 5 * reportS);
+    assertThat(w.rules.trace()).noneMatch(n -> n.contains("lease over"));
+    int starts = w.rules.starts;
+    w.loop.run(40); // Quiet: nothing is moved, nothing given back.
+    assertThat(w.rules.starts).isEqualTo(starts);
+    String machine = runner(w, "j-000100/0");
+    w.net.deaf(machine, true);
+    w.loop.run(leaseS + 8);
+    assertThat(w.cloud.names()).doesNotContain(machine);
+    w.loop.run(15);
+    assertThat(runner(w, "j-000100/0")).isNotEqualTo(machine);
+    fine(w);
+  }
+
+  @Test
+  void aMachineThatDoesNotShowWhatOurAnswerStartedDoesNotHear() {
+    Scheduler s = CoreStories.scheduler(1);
+    CoreStories.machine(s, "n-1", 1, 1, 0);
+    s.onJob(CoreStories.array("j-1", 1), false, 5, 0.1, 0.1);
+    CoreStories.commitAll(s, 10, 0.2);
+    // The direct order never left, so the answer to the next report carries the start.
+    for (Action a : CoreStories.taken(s)) {
+      if (a instanceof Action.Command c) {
+        s.onSent(c, Scheduler.Sent.NEVER_LEFT, null, 0.3);
+      }
+    }
+    CoreStories.machine(s, "n-1", 1, 2, 4);
+    assertThat(s.ordersFor(CoreStories.report("n-1", 1, 2, 1), 4)).hasSize(1);
+    CoreStories.machine(s, "n-1", 1, 3, 8);
+    assertThat(CoreStories.notes(s)).anyMatch(n -> n.contains("does not hear us"));
+  }
+
+  @Test
+  void aMachineThatStillHasTheOldTermAfterOurAnswerDoesNotHear() {
+    Scheduler s = CoreStories.scheduler(7);
+    for (int seq = 1; seq <= 2; seq++) {
+      s.onReport(CoreStories.report("n-1", 1, seq, 6), seq * 4);
+      s.answered("n-1", seq * 4);
+    }
+    assertThat(CoreStories.notes(s)).anyMatch(n -> n.contains("does not hear us"));
+  }
+
+  @Test
+  void aWorkerWhoseReportWasLostOnTheWayIsNotTakenForDeaf() {
+    Scheduler s = CoreStories.scheduler(1);
+    CoreStories.machine(s, "n-1", 1, 1, 0);
+    // Its second report found nobody, so it went on to another controller with the third.
+    s.onReport(CoreStories.report("n-1", 1, 3, 1), "m-2", 9);
+    s.answered("n-1", 9);
+    assertThat(CoreStories.notes(s)).noneMatch(n -> n.contains("does not hear us"));
+  }
+}
--- a/src/test/java/graderelay/GrownStoriesTest.java
+++ b/src/test/java/graderelay/GrownStoriesTest.java
@@ -33,11 +33,15 @@
   void aMachineThatHearsNothingGetsNoNewTasksUntilItHasShownThatItDoes() {
     Scheduler s = CoreStories.scheduler(1);
     hearing(s, "n-1", 0);
-    CoreStories.machine(s, "n-1", 1, 2, 5.1); // A timeout of 4 s and a pause of 1 s lie between.
+    // A worker that took our answer would have stayed with us.
+    s.onReport(CoreStories.report("n-1", 1, 2, 1), "m-1", 5.1);
+    s.answered("n-1", 5.1);
     s.onJob(CoreStories.array("j-1", 1), false, 5, 5.2, 5.2);
     CoreStories.commitAll(s, 10, 5.3);
     assertThat(CoreStories.claimsOf(s, "n-1")).isZero();
-    CoreStories.machine(s, "n-1", 1, 3, 7.1); // In time: the answer before has arrived.
+    // It stays there: the answer that went back that way has arrived.
+    s.onReport(CoreStories.report("n-1", 1, 3, 1), "m-1", 7.1);
+    s.answered("n-1", 7.1);
     CoreStories.commitAll(s, 11, 7.2);
     assertThat(CoreStories.claimsOf(s, "n-1")).isEqualTo(1);
   }
--- a/src/test/java/graderelay/ModelTest.java
+++ b/src/test/java/graderelay/ModelTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import graderelay.service.Constants;
 import graderelay.sim.Rules;
 import graderelay.sim.SimWorker;
 import graderelay.sim.SimWorld;
@@ -159,7 +160,7 @@
       case "blinkInElection" -> {
         // The owner ends, and so does another just when it may be winning the next term.
         restart(w, owner, 0.2);
-        double hold = SimWorld.LEASE_S * 0.3;
+        double hold = w.shape.leaseS() * Constants.HOLD_OF_LEASE;
         int next = (owner + 1) % w.size;
         w.loop.after(hold + f.pick() % 10 * 0.02, () -> restart(w, next, 0.1));
       }
@@ -184,8 +185,23 @@
     w.loop.after(length, () -> w.net.heal(a, b));
   }
 
+  /**
+   * Deployments like the users' own: few machines whose workers report often, or many more whose
+   * reports lie as far apart as a worker waits for an answer, in one to three zones.
+   */
+  private static SimWorld.Shape shape(long seed) {
+    SimWorld.Shape s = SimWorld.Shape.of(seed % 2 == 0 ? 3 : 5);
+    List<String> zones = List.of("a", "b", "c").subList(0, 1 + (int) (seed / 3 % 3));
+    return switch ((int) (seed / 2 % 4)) {
+      case 0 -> s;
+      case 1 -> s.workers(2.5, 16).fleet(12, zones);
+      case 2 -> s.workers(4, 22).fleet(30, zones);
+      default -> s.workers(6, 30).fleet(16, zones);
+    };
+  }
+
   private static Verdict play(long seed, List<Fault> faults) {
-    SimWorld w = SimWorld.of(seed, seed % 2 == 0 ? 3 : 5);
+    SimWorld w = new SimWorld(seed, shape(seed));
     SplittableRandom r = new SplittableRandom(seed * 31 + 7);
     List<Rules.Known> arrays = new ArrayList<>();
     List<Rules.Known> all = new ArrayList<>();
--- a/src/test/java/graderelay/sim/SimWorld.java
+++ b/src/test/java/graderelay/sim/SimWorld.java
@@ -24,6 +24,25 @@
   public static final double LIMIT = 24;
   public static final int TXN_OPS = 12;
 
+  /** What deployments differ in: controllers, workers' times, zones and machines to be had. */
+  public record Shape(
+      int size, double reportS, double leaseS, List<String> zones, int machines, double limit) {
+    public static Shape of(int size) {
+      return new Shape(size, REPORT_S, LEASE_S, List.of("a", "b"), 8, LIMIT);
+    }
+
+    /** The same with workers that report as often and whose lease is as long. */
+    public Shape workers(double every, double lease) {
+      return new Shape(size, every, lease, zones, machines, limit);
+    }
+
+    /** The same with so many machines and as large a limit as they can hold, in these zones. */
+    public Shape fleet(int most, List<String> in) {
+      return new Shape(size, reportS, leaseS, in, most, 3.0 * most);
+    }
+  }
+
+  public final Shape shape;
   public final SplittableRandom random;
   public final SimLoop loop = new SimLoop();
   public final SimNet net;
@@ -39,16 +58,17 @@
   private final Transport users;
 
   public SimWorld(long seed) {
-    this(seed, 3, List.of(new SimCloud.Type("small", 4, 16, 1, 0.4)));
+    this(seed, Shape.of(3));
   }
 
   /** A world with so many controllers. */
   public static SimWorld of(long seed, int size) {
-    return new SimWorld(seed, size, List.of(new SimCloud.Type("small", 4, 16, 1, 0.4)));
+    return new SimWorld(seed, Shape.of(size));
   }
 
-  public SimWorld(long seed, int size, List<SimCloud.Type> types) {
-    this.size = size;
+  public SimWorld(long seed, Shape shape) {
+    this.shape = shape;
+    this.size = shape.size();
     nodes = new Node[size];
     refused = new boolean[size][1];
     dead = new boolean[size][];
@@ -59,8 +79,10 @@
     random = new SplittableRandom(seed);
     net = new SimNet(loop, random);
     state = new SimState(loop, TXN_OPS);
-    rules = new Rules(loop, CANCEL_S, LIMIT);
-    cloud = new SimCloud(this, types, List.of("a", "b"));
+    rules = new Rules(loop, CANCEL_S, shape.limit());
+    var type = new SimCloud.Type("small", 4, 16, 1, 0.4);
+    cloud = new SimCloud(this, List.of(type), shape.zones());
+    cloud.capacity = shape.machines();
     for (int i = 0; i < size; i++) {
       net.listen("state" + i + ":1", "state", state.forNode(refused[i]));
     }
@@ -96,12 +118,12 @@
         peers,
         "cloud:1",
         "state" + i + ":1",
-        List.of(new Team("team", 8, LIMIT, 0, 0)),
+        List.of(new Team("team", 8, shape.limit(), 0, 0)),
         Map.of("web", 1.0),
         Map.of("web", List.of(1.0)),
         Map.of(),
-        REPORT_S,
-        LEASE_S,
+        shape.reportS(),
+        shape.leaseS(),
         CANCEL_S,
         1000,
         300,
@@ -167,7 +189,8 @@
   }
 
   void boot(String name, String type, String zone, boolean spot) {
-    workers.put(name, new SimWorker(this, name, type, zone, spot, REPORT_S, LEASE_S, apis));
+    workers.put(
+        name, new SimWorker(this, name, type, zone, spot, shape.reportS(), shape.leaseS(), apis));
   }
 
   /** A controller is left with its workers and users: neither state service nor controllers. */
