A wanted first start within minutes leaves deadline work patient

Now: such work is patient if the wanted wait is more than three times the slowest boot; the wait counts as a due time of its own in what deadlines need.

--- a/src/main/java/graderelay/core/Deadlines.java
+++ b/src/main/java/graderelay/core/Deadlines.java
@@ -48,12 +48,32 @@
     return r == null ? e : e * r.sum / r.count;
   }
 
-  /** True if the job may wait for cheap machines as long as its deadline is kept. */
+  /**
+   * True if the job may wait for cheap machines as long as its deadline is kept. A wanted time to
+   * its first start is no reason against it if machines can be rented and up well within that.
+   */
   boolean patient(JobSpec s) {
-    return !s.isService()
-        && s.spot()
-        && s.deadlineS() != null
-        && !world.policy.waits().containsKey(s.jobClass());
+    if (s.isService() || !s.spot() || s.deadlineS() == null) {
+      return false;
+    }
+    Double wait = world.policy.waits().get(s.jobClass());
+    return wait == null || wait > Constants.PATIENT_BOOTS * slowestBoot();
+  }
+
+  private double slowestBoot() {
+    double boot = 0;
+    for (MachineType t : world.types.values()) {
+      boot = Math.max(boot, t.bootS());
+    }
+    return boot;
+  }
+
+  /** When the job's work should be done at the latest, counting a wanted wait as well. */
+  private double dueAt(Job j, double estimate) {
+    Double wait = world.policy.waits().get(j.spec.jobClass());
+    double whole = j.spec.deadlineS();
+    boolean open = !j.open.isEmpty();
+    return j.submittedAt + (wait == null || !open ? whole : Math.min(whole, wait + estimate));
   }
 
   private record Part(Job job, double due, double seconds, double estimate) {}
@@ -153,7 +173,7 @@
       total += work;
       running += j.claims.size() * s.cpus();
       if (!back.contains(j)) {
-        Due d = new Due(j.submittedAt + s.deadlineS(), work, estimate);
+        Due d = new Due(dueAt(j, estimate), work, estimate);
         all.add(d);
         byTeam.computeIfAbsent(s.team(), t -> new ArrayList<>()).add(d);
       }
--- a/src/main/java/graderelay/service/Constants.java
+++ b/src/main/java/graderelay/service/Constants.java
@@ -174,6 +174,12 @@
   /** Share of the rented CPUs that tasks of uneven size can fill. */
   public static final double PACKING = 0.85;
 
+  /**
+   * Times the slowest nominal boot beyond which a wanted wait leaves time to rent for it when it
+   * presses: some machines take several times as long.
+   */
+  public static final double PATIENT_BOOTS = 3;
+
   /** Seconds in which running work is counted at most when nothing presses. */
   public static final double PATIENT_S = 60;
 
