--- a/src/main/java/graderelay/core/Placer.java
+++ b/src/main/java/graderelay/core/Placer.java
@@ -165,8 +165,8 @@
   private double worth(Job j, double now) {
     JobSpec s = j.spec;
     List<Double> steps = world.policy.waitSteps().getOrDefault(s.jobClass(), List.of());
-    if (s.isService() || steps.isEmpty()) {
-      return 0;
+    if (s.isService() || steps.isEmpty() || s.deadlineS() != null) {
+      return 0; // What is due goes by when it is due.
     }
     double waited = now - j.submittedAt;
     double last = steps.get(steps.size() - 1);
