Direct orders by the processor that a controller has, machines with services asked first

Cause: 40 direct orders a second for everyone, of which half were kept from questions.

Now: 200 a second for each core of the settings' resources (68, 122 and 160 on 0.34, 0.61 and 0.8), about a fifth of it, and questions go first to machines with services.

Story: of 300 silent machines those with services are asked first, within the rate.

--- a/src/main/java/graderelay/cli/Warmup.java
+++ b/src/main/java/graderelay/cli/Warmup.java
@@ -45,6 +45,7 @@
       rps = 2.0
       list_lag_s = 4.0
       [deployment.resources]
+      cpu_share = 0.34
       max_connections = 100
       """;
 
--- a/src/main/java/graderelay/core/Orders.java
+++ b/src/main/java/graderelay/core/Orders.java
@@ -20,6 +20,7 @@
     this.world = world;
     this.ledger = ledger;
     this.directFilled = world.tookOver;
+    this.directTokens = world.policy.directPerS();
   }
 
   /** A body may have 64 KiB: what goes beyond one's share follows with the reports' responses. */
@@ -27,7 +28,7 @@
     return orders == null || orders.size() < Constants.MOST_ORDERS;
   }
 
-  private double directTokens = Constants.DIRECT_PER_S;
+  private double directTokens;
 
   private double directFilled;
 
@@ -189,7 +190,7 @@
               && now - m.lastReport <= world.policy.reportS() * Constants.SILENT_REPORTS
               && !m.leaseOver;
       boolean go = near && launchable(m, c) && c.launch == Claim.Launch.NONE;
-      double reserve = c.job.spec.isService() ? 0 : Constants.DIRECT_PER_S * 0.25;
+      double reserve = c.job.spec.isService() ? 0 : Constants.DIRECT_FOR_SERVICES;
       if (go && room(byMachine.get(m)) && (byMachine.containsKey(m) || direct(now, reserve))) {
         world.note(
             "start "
@@ -219,11 +220,10 @@
    * beyond the rate the orders go with the responses to reports, which come in any case.
    */
   private boolean direct(double now, double reserve) {
-    directTokens =
-        Math.min(
-            Constants.DIRECT_PER_S, directTokens + (now - directFilled) * Constants.DIRECT_PER_S);
+    double rate = world.policy.directPerS();
+    directTokens = Math.min(rate, directTokens + (now - directFilled) * rate);
     directFilled = now;
-    if (directTokens < 1 + reserve) {
+    if (directTokens < 1 + reserve * rate) {
       return false;
     }
     directTokens--;
@@ -236,30 +236,41 @@
    * the machine is gone.
    */
   void pokes(double now) {
-    for (Machine m : world.machines.values()) {
-      // Most report by themselves within an interval of the takeover.
-      boolean unheard =
-          !m.reported && !m.claims.isEmpty() && now - world.tookOver > world.policy.reportS() / 2;
-      boolean deaf = m.deafSince != null;
-      boolean silent =
-          m.reported && now - m.lastReport > world.policy.reportS() * Constants.POKE_REPORTS;
-      if (m.address == null
-          || m.leaseOver
-          || m.returning
-          || !(unheard || silent || deaf)
-          || now - m.lastPoke < Constants.POKE_EVERY_S
-          || !direct(now, Constants.DIRECT_PER_S * 0.5)) {
-        continue;
-      }
-      long session = m.session;
-      for (Claim c : m.claims.values()) {
-        session = Math.max(session, c.session);
+    // Those with services first: their replicas are down until we know.
+    for (boolean services : new boolean[] {true, false}) {
+      for (Machine m : world.machines.values()) {
+        if (m.services.cpus() > 0 == services) {
+          poke(m, now);
+        }
       }
-      m.lastPoke = now;
-      world.out.add(new Action.Command(m.name, m.address, session, world.term, List.of()));
     }
   }
 
+  private void poke(Machine m, double now) {
+    // Most report by themselves within an interval of the takeover.
+    boolean unheard =
+        !m.reported && !m.claims.isEmpty() && now - world.tookOver > world.policy.reportS() / 2;
+    boolean deaf = m.deafSince != null;
+    boolean silent =
+        m.reported && now - m.lastReport > world.policy.reportS() * Constants.POKE_REPORTS;
+    double reserve =
+        m.services.cpus() > 0 ? Constants.DIRECT_FOR_SERVICES : Constants.DIRECT_FOR_ORDERS;
+    if (m.address == null
+        || m.leaseOver
+        || m.returning
+        || !(unheard || silent || deaf)
+        || now - m.lastPoke < Constants.POKE_EVERY_S
+        || !direct(now, reserve)) {
+      return;
+    }
+    long session = m.session;
+    for (Claim c : m.claims.values()) {
+      session = Math.max(session, c.session);
+    }
+    m.lastPoke = now;
+    world.out.add(new Action.Command(m.name, m.address, session, world.term, List.of()));
+  }
+
   /** Fences launches of unknown fate that stand in the way of an end, by a new term. */
   void doubts(double now) {
     if (raising || now - lastRaise < Constants.RAISE_PAUSE_S) {
--- a/src/main/java/graderelay/core/Policy.java
+++ b/src/main/java/graderelay/core/Policy.java
@@ -6,6 +6,7 @@
  * What the platform and the operators prescribe to the core.
  *
  * @param changesPerS changes of the state service that the owner may make
+ * @param directPerS orders that the owner may send straight to workers
  * @param waits for each class with a wanted waiting time, the shortest
  * @param waitSteps all of them, ascending
  * @param finishes for each class with a wanted time to the end of its jobs, the shortest
@@ -17,6 +18,7 @@
     double listLagS,
     int txnOps,
     double changesPerS,
+    double directPerS,
     java.util.Map<String, Double> waits,
     java.util.Map<String, List<Double>> waitSteps,
     java.util.Map<String, Double> finishes,
@@ -43,6 +45,16 @@
 
   Policy with(Tuning t) {
     return new Policy(
-        teams, reportS, leaseS, listLagS, txnOps, changesPerS, waits, waitSteps, finishes, t);
+        teams,
+        reportS,
+        leaseS,
+        listLagS,
+        txnOps,
+        changesPerS,
+        directPerS,
+        waits,
+        waitSteps,
+        finishes,
+        t);
   }
 }
--- a/src/main/java/graderelay/service/Constants.java
+++ b/src/main/java/graderelay/service/Constants.java
@@ -83,10 +83,16 @@
   public static final double RAISE_PAUSE_S = 8;
 
   /**
-   * Orders sent straight to workers in a second: each may cost a connection, about a millisecond of
-   * a third of a core, so this many take about a tenth of it.
+   * Orders sent straight to workers in a second, for each core that a controller has: each may cost
+   * a connection, about a millisecond, so this many take about a fifth of what it has.
    */
-  public static final double DIRECT_PER_S = 40;
+  public static final double DIRECT_PER_CORE_S = 200;
+
+  /** Share of those kept from starts of arrays, whose machines' next reports fetch them as well. */
+  public static final double DIRECT_FOR_SERVICES = 0.25;
+
+  /** Share of those kept from questions to machines without services. */
+  public static final double DIRECT_FOR_ORDERS = 0.5;
 
   /** Report intervals without a report after which a machine is asked straight. */
   public static final double POKE_REPORTS = 1.6;
--- a/src/main/java/graderelay/service/Node.java
+++ b/src/main/java/graderelay/service/Node.java
@@ -120,6 +120,7 @@
         settings.listLagS(),
         settings.txnOps(),
         state.ownersChanges(),
+        settings.cpuShare() * Constants.DIRECT_PER_CORE_S,
         settings.waits(),
         settings.waitSteps(),
         settings.finishes(),
--- a/src/main/java/graderelay/service/Settings.java
+++ b/src/main/java/graderelay/service/Settings.java
@@ -32,6 +32,7 @@
     int txnOps,
     double cloudRps,
     double listLagS,
+    double cpuShare,
     int maxConnections) {
 
   /** Another controller. */
@@ -121,6 +122,7 @@
         (int) number(state, "txn_ops", "deployment.state.", 2, null),
         number(cloud, "rps", "deployment.cloud.", 0.001, null),
         number(cloud, "list_lag_s", "deployment.cloud.", 0, null),
+        number(resources, "cpu_share", "deployment.resources.", 0.001, null),
         (int) number(resources, "max_connections", "deployment.resources.", 16, null));
   }
 
--- a/src/test/java/graderelay/AdminTest.java
+++ b/src/test/java/graderelay/AdminTest.java
@@ -151,6 +151,7 @@
         rps = 2
         list_lag_s = 4
         [deployment.resources]
+        cpu_share = 0.34
         max_connections = 900
         """;
     assertThat(Settings.parse(new TomlMapper().readTree(good)).txnOps()).isEqualTo(12);
--- a/src/test/java/graderelay/CoreStories.java
+++ b/src/test/java/graderelay/CoreStories.java
@@ -55,6 +55,7 @@
             3,
             SimWorld.TXN_OPS,
             changesPerS,
+            68,
             first,
             waits,
             Map.of(),
@@ -75,12 +76,27 @@
   }
 
   static JobSpec array(String id, int tasks, String image) {
+    return spec(id, Kind.ARRAY, Priority.NORMAL, tasks, image, null);
+  }
+
+  /** An array that should be done so long after its submission. */
+  static JobSpec due(String id, int tasks, double deadlineS) {
+    return spec(id, Kind.ARRAY, Priority.NORMAL, tasks, "i", deadlineS);
+  }
+
+  static JobSpec service(String id, int tasks) {
+    return spec(id, Kind.SERVICE, Priority.PROD, tasks, "i", null);
+  }
+
+  private static JobSpec spec(
+      String id, Kind kind, Priority priority, int tasks, String image, Double deadlineS) {
+    boolean array = kind == Kind.ARRAY;
     return new JobSpec(
         id,
-        "batch",
+        array ? "batch" : "web",
         "team",
-        Kind.ARRAY,
-        Priority.NORMAL,
+        kind,
+        priority,
         tasks,
         1,
         0,
@@ -91,11 +107,11 @@
         null,
         false,
         false,
-        true,
-        10,
+        array,
+        array ? 10 : 0,
         0,
         0,
-        null,
+        deadlineS,
         0,
         500);
   }
--- a/src/test/java/graderelay/FleetStoriesTest.java
+++ b/src/test/java/graderelay/FleetStoriesTest.java
@@ -7,6 +7,10 @@
 import graderelay.core.Action;
 import graderelay.core.Scheduler;
 import graderelay.sim.SimWorld;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -91,4 +95,67 @@
     s.answered("n-1", 9);
     assertThat(CoreStories.notes(s)).noneMatch(n -> n.contains("does not hear us"));
   }
+
+  // ---------------------------------------------------------------- many machines at once
+
+  @Test
+  void whenHundredsFallSilentThoseWithServicesAreAskedFirst() {
+    Scheduler s = CoreStories.scheduler(1);
+    for (int i = 0; i < 300; i++) {
+      CoreStories.machine(s, name(i), 1, 1, 0);
+    }
+    s.onJob(CoreStories.service("j-1", 24), false, 5, 0.1, 0.1);
+    CoreStories.commitAll(s, 10, 0.2);
+    Set<String> hosts = new HashSet<>();
+    for (int i = 0; i < 300; i++) {
+      if (CoreStories.claimsOf(s, name(i)) > 0) {
+        hosts.add(name(i));
+      }
+    }
+    assertThat(hosts).hasSizeGreaterThan(5);
+    CoreStories.taken(s).clear();
+    s.tick(8); // Nobody has reported for four intervals.
+    Set<String> asked = new HashSet<>();
+    for (Action a : CoreStories.taken(s)) {
+      if (a instanceof Action.Command c) {
+        asked.add(c.machine());
+      }
+    }
+    assertThat(asked).containsAll(hosts);
+    // What a third of a core can ask in a second, and no more.
+    assertThat(asked).hasSizeLessThanOrEqualTo(68);
+  }
+
+  private static String name(int i) {
+    return String.format("n-%06d", i);
+  }
+
+  // ---------------------------------------------------------------- work that may wait
+
+  @Test
+  void aWantedStartWithinMinutesLeavesWorkWithADeadlinePatient() {
+    // It need not start before a machine boots, so ordinary ones are rented only as it presses.
+    assertThat(ordinary(150, 400)).isEqualTo(1);
+    assertThat(ordinary(10, 400)).isEqualTo(5);
+    assertThat(ordinary(150, 30)).isGreaterThan(2);
+  }
+
+  /** Ordinary machines rented for twenty tasks of 10 s while there are no others to be had. */
+  private static int ordinary(double wait, double deadline) {
+    Scheduler s = CoreStories.takingOver(1, Map.of("batch", List.of(wait)));
+    s.loaded(0);
+    s.onJob(CoreStories.due("j-1", 20, deadline), false, 5, 0, 0);
+    int ordinary = 0;
+    for (int i = 1; i < 4; i++) {
+      s.tick(i);
+      for (Action a : s.take()) {
+        if (a instanceof Action.Hire h && h.spot()) {
+          s.onHired(h.id(), null, true, i);
+        } else if (a instanceof Action.Hire h) {
+          ordinary += h.count();
+        }
+      }
+    }
+    return ordinary;
+  }
 }
--- a/src/test/java/graderelay/sim/SimWorld.java
+++ b/src/test/java/graderelay/sim/SimWorld.java
@@ -131,6 +131,7 @@
         TXN_OPS,
         50,
         3,
+        0.34,
         900);
   }
 
