Rent in the zones where work that has to be spread may still go

Now: a zone's bins and pools take what the rule leaves them, by claims; spare room for such classes is kept half in each of two zones.

--- a/src/main/java/graderelay/core/FleetPlanner.java
+++ b/src/main/java/graderelay/core/FleetPlanner.java
@@ -48,6 +48,35 @@
     }
   }
 
+  /** How many more tasks each zone may take, for work that has to be spread. */
+  private static final class ZoneRoom {
+    private final Map<String, Integer> taken = new HashMap<>();
+    private final int most;
+
+    ZoneRoom(int most, Map<String, Integer> claims) {
+      this.most = most;
+      taken.putAll(claims);
+    }
+
+    int left(String zone) {
+      return Math.max(0, most - taken.getOrDefault(zone, 0));
+    }
+
+    void take(String zone, int n) {
+      taken.merge(zone, n, Integer::sum);
+    }
+
+    /** For a job, or null if any zone may take all of it. */
+    static ZoneRoom of(Job j) {
+      return j.spec.spread() ? new ZoneRoom(j.spec.zoneLimit(), j.zoneClaims) : null;
+    }
+
+    /** For spare room that such work will want half of in each of two zones. */
+    static ZoneRoom of(JobSpec s, int n) {
+      return s.spread() ? new ZoneRoom((n + 1) / 2, Map.of()) : null;
+    }
+  }
+
   private record Arrival(double at, JobSpec spec, int tasks) {}
 
   private final World world;
@@ -198,12 +227,13 @@
     for (boolean services : new boolean[] {true, false}) {
       for (Job j : waiting) {
         if (j.spec.isService() == services) {
-          fill(j.spec, withinLimit(j, teamLeft), bins, wanted, null, now);
+          fill(j.spec, withinLimit(j, teamLeft), ZoneRoom.of(j), bins, wanted, null, now);
         }
       }
       for (var e : spare.entrySet()) {
         if (e.getKey().isService() == services) {
-          fill(e.getKey(), e.getValue(), bins, wanted, keep, now);
+          ZoneRoom zones = ZoneRoom.of(e.getKey(), e.getValue());
+          fill(e.getKey(), e.getValue(), zones, bins, wanted, keep, now);
         }
       }
     }
@@ -482,7 +512,13 @@
    * room, or is null.
    */
   private void fill(
-      JobSpec s, int n, List<Bin> bins, Map<Pool, Integer> wanted, Set<Machine> keep, double now) {
+      JobSpec s,
+      int n,
+      ZoneRoom zones,
+      List<Bin> bins,
+      Map<Pool, Integer> wanted,
+      Set<Machine> keep,
+      double now) {
     Room need = Room.of(s);
     int left = n;
     // What may use spot machines takes those first, and leaves the others to what may not.
@@ -496,6 +532,10 @@
         }
         Room room = s.isService() ? b.free.plus(b.yielding) : b.free;
         int k = Math.min(left, room.times(need));
+        if (zones != null && k > 0) {
+          k = Math.min(k, zones.left(b.pool.zone()));
+          zones.take(b.pool.zone(), k);
+        }
         if (k > 0 && keep != null && b.machine != null) {
           keep.add(b.machine);
         }
@@ -505,7 +545,7 @@
     }
     while (left > 0) {
       boolean patient = deadlines.patient(s);
-      Pool p = cheapest(s, left, patient && dearCpus <= 0, now);
+      Pool p = cheapest(s, left, zones, patient && dearCpus <= 0, now);
       if (p == null) {
         return;
       }
@@ -514,6 +554,10 @@
       }
       Room room = Room.of(world.types.get(p.type()));
       int k = Math.min(left, room.times(need));
+      if (zones != null) {
+        k = Math.min(k, zones.left(p.zone()));
+        zones.take(p.zone(), k);
+      }
       bins.add(new Bin(null, p, less(room, need, k)));
       left -= k;
       if (wanted.merge(p, 1, Integer::sum) >= Constants.MOST_HIRED) {
@@ -528,7 +572,7 @@
   }
 
   /** The pool with the least price for each task that it would really hold. */
-  private Pool cheapest(JobSpec s, int left, boolean spotOnly, double now) {
+  private Pool cheapest(JobSpec s, int left, ZoneRoom zones, boolean spotOnly, double now) {
     Pool best = null;
     double bestPrice = Double.MAX_VALUE;
     for (MachineType t : world.types.values()) {
@@ -541,6 +585,7 @@
           Pool p = new Pool(t.name(), zone, spot);
           Refusal r = refused.get(p);
           if (!suits(s, p)
+              || (zones != null && zones.left(zone) == 0)
               || (spotOnly && !spot && spotExists(t))
               || (spot && !world.policy.tuning().spotAllowed())
               || (r != null && now < r.until)) {
