Deputies keep the leases of a zone that is cut off, as the owner has granted

Now: in deployments of several zones each controller asks the owner every second to be its deputy. One that reaches neither the owner nor the state service answers its zone's workers under the owner's term and without orders, for two leases after the owner's last word. The owner, and the next one from its takeover, counts those leases as renewed until that time unless the deputy speaks to it or has given its grant back through the records. What is given back early as silent is judged by all that are silent, not only by those asked already, and not in a zone that is cut.

Ruled out: promises for this, as every peer would have to be reached. Stories: a cut of either zone, a cancellation meanwhile, a dead zone, a deputy that only the owner can't reach.

--- a/src/main/java/graderelay/core/FleetPlanner.java
+++ b/src/main/java/graderelay/core/FleetPlanner.java
@@ -688,12 +688,24 @@
     replacedAt.removeIf(t -> now - t > Constants.REPLACE_MEMORY_S);
     int up = 0;
     int silent = 0;
+    int upHere = 0;
+    int silentHere = 0;
     for (Machine o : world.machines.values()) {
       if (!o.leaseOver && !o.spot && (o.reported || !o.claims.isEmpty())) {
+        // Not only those that were asked already: of hundreds, the first ones are asked first.
+        boolean quiet =
+            o.failedPokes > 0
+                || now - Math.max(o.lastReport, startedAt)
+                    > world.policy.reportS() * Constants.POKE_REPORTS;
         up++;
-        silent += o.failedPokes > 0 ? 1 : 0;
+        silent += quiet ? 1 : 0;
+        upHere += m.zone != null && m.zone.equals(o.zone) ? 1 : 0;
+        silentHere += quiet && m.zone != null && m.zone.equals(o.zone) ? 1 : 0;
       }
     }
+    if (silentHere * 2 > upHere && world.deputies.mayKeep(m.zone, now)) {
+      return false; // The zone is cut off, and its deputy keeps its services up.
+    }
     return silent + replacedAt.size() <= Math.max(1, up * Constants.ALONE_SHARE);
   }
 
--- a/src/main/java/graderelay/core/Policy.java
+++ b/src/main/java/graderelay/core/Policy.java
@@ -1,10 +1,12 @@
 package graderelay.core;
 
 import java.util.List;
+import java.util.Map;
 
 /**
  * What the platform and the operators prescribe to the core.
  *
+ * @param deputies the other controllers by zone, if there are several
  * @param changesPerS changes of the state service that the owner may make
  * @param directPerS orders that the owner may send straight to workers
  * @param waits for each class with a wanted waiting time, the shortest
@@ -13,15 +15,16 @@
  */
 public record Policy(
     List<Team> teams,
+    Map<String, String> deputies,
     double reportS,
     double leaseS,
     double listLagS,
     int txnOps,
     double changesPerS,
     double directPerS,
-    java.util.Map<String, Double> waits,
-    java.util.Map<String, List<Double>> waitSteps,
-    java.util.Map<String, Double> finishes,
+    Map<String, Double> waits,
+    Map<String, List<Double>> waitSteps,
+    Map<String, Double> finishes,
     Tuning tuning) {
 
   /** Settings that operators may change at any time. */
@@ -46,6 +49,7 @@
   Policy with(Tuning t) {
     return new Policy(
         teams,
+        deputies,
         reportS,
         leaseS,
         listLagS,
--- a/src/main/java/graderelay/core/Proof.java
+++ b/src/main/java/graderelay/core/Proof.java
@@ -311,6 +311,10 @@
       if (now <= from + lease || (!m.reported && m.claims.isEmpty())) {
         continue;
       }
+      // A deputy of its zone may have answered it since.
+      if (now <= world.deputies.renewedUntil(m.zone, now) + lease) {
+        continue;
+      }
       if (!m.leaseOver) {
         m.leaseOver = true;
         world.note("the lease of " + m.name + " is over, " + m.claims.size() + " claims");
--- a/src/main/java/graderelay/core/Scheduler.java
+++ b/src/main/java/graderelay/core/Scheduler.java
@@ -53,6 +53,7 @@
     world.term = term;
     world.firstTerm = term;
     world.tookOver = now;
+    world.deputies = new Deputies(policy.deputies(), term, policy.leaseS(), now);
     this.ledger = new Ledger(world);
     this.orders = new Orders(world, ledger);
     this.proof = new Proof(world, ledger, orders, planner);
@@ -147,6 +148,19 @@
     proof.onSent(cmd, how, report, now);
   }
 
+  // ---------------------------------------------------------------- deputies
+
+  /** Another controller asks to be our deputy in its zone; false if it is none of ours. */
+  public boolean onDeputy(
+      String member, String self, long n, long of, double echo, double aloneS, double now) {
+    return world.deputies.ask(new Deputies.Ask(member, self, n, of, echo, aloneS), now);
+  }
+
+  /** A deputy that doesn't reach us has given back what it was granted up to its question. */
+  public void onDeputyFree(String member, String self, long n, long of, double aloneS, double now) {
+    world.deputies.free(member, self, n, of, aloneS, now);
+  }
+
   // ---------------------------------------------------------------- the cloud
 
   public void onTypes(Collection<MachineType> types) {
--- a/src/main/java/graderelay/core/World.java
+++ b/src/main/java/graderelay/core/World.java
@@ -53,6 +53,9 @@
 
   double tookOver;
 
+  /** Who may keep leases alive in zones that are cut off from us. */
+  Deputies deputies;
+
   final List<Action> out = new ArrayList<>();
   Policy policy;
 
--- a/src/main/java/graderelay/mesh/MeshApi.java
+++ b/src/main/java/graderelay/mesh/MeshApi.java
@@ -9,6 +9,7 @@
 import graderelay.wire.Json;
 import graderelay.wire.MeshCodec;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 /** Answers the other controllers. */
 public final class MeshApi {
@@ -20,12 +21,19 @@
   private final Ownership ownership;
   private final StateClient state;
   private final Relayed reports;
+  private final Function<JsonNode, ObjectNode> deputies;
   private final Exchange.Handler users;
 
-  public MeshApi(Ownership ownership, StateClient state, Relayed reports, Exchange.Handler users) {
+  public MeshApi(
+      Ownership ownership,
+      StateClient state,
+      Relayed reports,
+      Function<JsonNode, ObjectNode> deputies,
+      Exchange.Handler users) {
     this.ownership = ownership;
     this.state = state;
     this.reports = reports;
+    this.deputies = deputies;
     this.users = users;
   }
 
@@ -51,6 +59,7 @@
             n.path("member").asText(), n.path("term").asLong(), n.path("hold").asLong());
         answer(e, Json.object());
       }
+      case MeshCodec.DEPUTY -> answer(e, deputies.apply(n));
       case MeshCodec.REPORT ->
           reports.accept(
               n.path("member").asText(), MeshCodec.bytes(n), a -> answer(e, MeshCodec.answer(a)));
--- a/src/main/java/graderelay/service/Constants.java
+++ b/src/main/java/graderelay/service/Constants.java
@@ -308,6 +308,24 @@
   /** Seconds since its last answer for which a node says that it reaches the state service. */
   public static final double REACHES_S = 1.3;
 
+  /**
+   * Workers' leases for which a zone's deputy may keep them alive after the owner's last word. Cuts
+   * of a zone last about two leases; what really died there starts elsewhere that much later.
+   */
+  public static final double DEPUTY_LEASES = 2;
+
+  /** Seconds between a deputy's questions to the owner. */
+  public static final double DEPUTY_ASKS_S = 1;
+
+  /**
+   * Seconds since the owner's last answer before which a deputy never answers by itself: several of
+   * its questions, and less than a worker needs to find it.
+   */
+  public static final double DEPUTY_ALONE_S = 4;
+
+  /** Seconds without an answer after which a deputy gives its grant back through the records. */
+  public static final double DEPUTY_GIVES_BACK_S = 2;
+
   // ---------------------------------------------------------------- state service
 
   /** Share of the deployment's request rate that the owner gives itself. */
--- a/src/main/java/graderelay/service/FleetDuty.java
+++ b/src/main/java/graderelay/service/FleetDuty.java
@@ -1,5 +1,7 @@
 package graderelay.service;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import graderelay.cloud.CloudClient;
 import graderelay.core.Action;
 import graderelay.core.MachineType;
@@ -16,6 +18,8 @@
 import graderelay.state.Ownership;
 import graderelay.state.StateClient;
 import graderelay.state.StateClient.How;
+import graderelay.wire.Json;
+import graderelay.wire.MeshCodec;
 import graderelay.wire.StateCodec;
 import graderelay.worker.WorkerClient;
 import java.util.List;
@@ -157,6 +161,31 @@
     return orders;
   }
 
+  /** A peer's question to be our deputy; the caller has checked that we may speak. */
+  ObjectNode onDeputy(JsonNode n) {
+    double now = loop.now();
+    boolean known =
+        core.onDeputy(
+            n.path("member").asText(),
+            n.path("self").asText(),
+            n.path("n").asLong(),
+            n.path("of").asLong(),
+            n.path("echo").asDouble(),
+            n.path("alone").asDouble(),
+            now);
+    return known ? MeshCodec.granted(ownership.term(), firstTerm, now) : Json.object();
+  }
+
+  void onDeputyFree(String member, JsonNode n) {
+    core.onDeputyFree(
+        member,
+        n.path("self").asText(),
+        n.path("n").asLong(),
+        n.path("of").asLong(),
+        n.path("alone").asDouble(),
+        loop.now());
+  }
+
   // ---------------------------------------------------------------- time
 
   private void tick() {
--- a/src/main/java/graderelay/service/Node.java
+++ b/src/main/java/graderelay/service/Node.java
@@ -1,5 +1,7 @@
 package graderelay.service;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import graderelay.api.AdminApi;
 import graderelay.api.UserApi;
 import graderelay.cloud.CloudClient;
@@ -19,6 +21,7 @@
 import graderelay.state.Ownership;
 import graderelay.state.StateClient;
 import graderelay.wire.Json;
+import graderelay.worker.Deputy;
 import graderelay.worker.WorkerApi;
 import graderelay.worker.WorkerClient;
 import io.micrometer.core.instrument.Tags;
@@ -46,6 +49,7 @@
   private final WorkerClient workers;
   private final UserApi users;
   private final WorkerApi reports;
+  private final Deputy deputy;
   private final MeshClient mesh;
   private final MeshApi meshApi;
   private final Hedge hedge;
@@ -91,7 +95,8 @@
     this.cloud = new CloudClient(loop, transport, s.cloudAddress(), s.cloudRps());
     this.workers = new WorkerClient(transport);
     this.users = new UserApi(loop, state, cache, s, () -> types, () -> operators.sliceCap());
-    this.reports = new WorkerApi(loop, ownership, cache, mesh, s.member(), this::onReport);
+    this.deputy = new Deputy(loop, mesh, ownership, cache, state, s, random.nextLong());
+    this.reports = new WorkerApi(loop, ownership, cache, mesh, deputy, s.member(), this::onReport);
     this.admin =
         new AdminApi(
             loop,
@@ -105,7 +110,8 @@
             this::core,
             this::ready);
     this.hedge = new Hedge(loop, mesh);
-    this.meshApi = new MeshApi(ownership, state, reports::relayed, this::handleRelayed);
+    this.meshApi =
+        new MeshApi(ownership, state, reports::relayed, this::onDeputy, this::handleRelayed);
   }
 
   private static int mostSlice(Settings s) {
@@ -115,6 +121,7 @@
   private Policy policy() {
     return new Policy(
         settings.teams(),
+        settings.deputies(),
         settings.reportS(),
         settings.leaseS(),
         settings.listLagS(),
@@ -141,6 +148,7 @@
     metrics.start();
     cache.start();
     readTypes();
+    deputy.start();
     tick();
   }
 
@@ -150,6 +158,7 @@
     if (duty != null) {
       duty.close();
     }
+    deputy.close();
     ownership.close();
     metrics.close();
     cache.close();
@@ -215,6 +224,11 @@
     return duty == null ? List.of() : duty.onReport(r, via);
   }
 
+  /** A peer asks to be our deputy in its zone: only while we speak for the controllers. */
+  private ObjectNode onDeputy(JsonNode n) {
+    return duty != null && ownership.entitled() ? duty.onDeputy(n) : Json.object();
+  }
+
   // ---------------------------------------------------------------- requests
 
   /** Requests of users, workers and the load balancer. */
@@ -388,6 +402,13 @@
       ownership.consider();
     }
 
+    @Override
+    public void onDeputyFree(String member, JsonNode record) {
+      if (duty != null) {
+        duty.onDeputyFree(member, record);
+      }
+    }
+
     @Override
     public void onSettings() {
       String before = operators.logLevel();
--- a/src/main/java/graderelay/service/Settings.java
+++ b/src/main/java/graderelay/service/Settings.java
@@ -36,7 +36,14 @@
     int maxConnections) {
 
   /** Another controller. */
-  public record Peer(String member, String address) {}
+  public record Peer(String member, String zone, String address) {}
+
+  /** The other controllers by zone, or nobody where all are in one. */
+  public Map<String, String> deputies() {
+    Map<String, String> zones = new HashMap<>();
+    peers.forEach(p -> zones.put(p.member(), p.zone()));
+    return zones.values().stream().allMatch(zone::equals) ? Map.of() : zones;
+  }
 
   /** The file is missing something or has it wrong; the message names the field. */
   public static final class Wrong extends Exception {
@@ -62,7 +69,7 @@
     int i = 0;
     for (JsonNode p : list(n, "peers", "peers")) {
       String at = "peers[" + i++ + "].";
-      peers.add(new Peer(text(p, "member", at), address(p, "address", at)));
+      peers.add(new Peer(text(p, "member", at), text(p, "zone", at), address(p, "address", at)));
     }
     JsonNode outside = table(n, "outside");
     JsonNode d = table(n, "deployment");
--- a/src/main/java/graderelay/state/Cache.java
+++ b/src/main/java/graderelay/state/Cache.java
@@ -56,6 +56,8 @@
     void onOwner();
 
     void onSettings();
+
+    void onDeputyFree(String member, JsonNode record);
   }
 
   private final Loop loop;
@@ -391,6 +393,8 @@
       demand = value;
     } else if (key.startsWith(StateCodec.IMAGES)) {
       images.put(key, value);
+    } else if (key.startsWith(StateCodec.DEPUTIES)) {
+      listener.onDeputyFree(key.substring(StateCodec.DEPUTIES.length()), value);
     } else if (key.equals(StateCodec.SETTINGS) && mark > settingsMark) {
       settings = value;
       settingsMark = mark;
--- a/src/main/java/graderelay/wire/MeshCodec.java
+++ b/src/main/java/graderelay/wire/MeshCodec.java
@@ -10,6 +10,7 @@
   public static final String PROMISE = "promise";
   public static final String KEEP = "keep";
   public static final String HANDOVER = "handover";
+  public static final String DEPUTY = "deputy";
   public static final String REPORT = "report";
   public static final String USER = "user";
   public static final String ADMIN = "admin";
@@ -48,6 +49,24 @@
         .put("hold", hold);
   }
 
+  /** Asks the owner to be its deputy in the sender's zone. */
+  public static ObjectNode deputy(
+      String member, String self, long n, long of, double echo, double aloneS) {
+    return Json.object()
+        .put("kind", DEPUTY)
+        .put("member", member)
+        .put("self", self)
+        .put("n", n)
+        .put("of", of)
+        .put("echo", echo)
+        .put("alone", aloneS);
+  }
+
+  /** Makes the asker a deputy under a term, from our time {@code at}. */
+  public static ObjectNode granted(long term, long of, double at) {
+    return Json.object().put("granted", true).put("term", term).put("of", of).put("at", at);
+  }
+
   /** Passes on a worker's report that came to this member. */
   public static ObjectNode report(String member, byte[] body) {
     return Json.object().put("kind", REPORT).put("member", member).put("body", body);
--- a/src/main/java/graderelay/wire/StateCodec.java
+++ b/src/main/java/graderelay/wire/StateCodec.java
@@ -28,6 +28,9 @@
 
   public static final String IMAGES = "g/images/";
 
+  /** Grants that deputies have given back. */
+  public static final String DEPUTIES = "g/deputy/";
+
   /** Final states; kept for good and never listed. */
   public static final String ENDS = "g/end/";
 
@@ -62,6 +65,11 @@
     return new Owner(n.path("member").asText(), n.path("term").asLong(), n.path("mesh").asText());
   }
 
+  /** A deputy has given back all grants up to that of its question {@code n}. */
+  public static ObjectNode deputy(String self, long n, long of, double aloneS) {
+    return Json.object().put("self", self).put("n", n).put("of", of).put("alone", aloneS);
+  }
+
   /** The counter of terms, and who won the last one. */
   public static ObjectNode term(long term, String member) {
     return Json.object().put("term", term).put("member", member);
--- /dev/null
+++ b/src/main/java/graderelay/worker/Deputy.java
@@ -0,0 +1,172 @@
+package graderelay.worker;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import graderelay.core.Report;
+import graderelay.mesh.MeshClient;
+import graderelay.net.Loop;
+import graderelay.net.TokenBucket.Use;
+import graderelay.service.Constants;
+import graderelay.service.Settings;
+import graderelay.state.Cache;
+import graderelay.state.Ownership;
+import graderelay.state.StateClient;
+import graderelay.wire.MeshCodec;
+import graderelay.wire.StateCodec;
+
+/**
+ * Keeps the leases of this zone's workers alive while the zone is cut off from the owner and the
+ * state service: what runs there goes on, and nothing is ordered. The owner has granted it for a
+ * while and counts those leases accordingly, see {@code Deputies}. In a deployment of one zone
+ * there is nobody outside to be cut off from, and no deputy.
+ */
+public final class Deputy {
+  private final Loop loop;
+  private final MeshClient mesh;
+  private final Ownership ownership;
+  private final Cache cache;
+  private final StateClient state;
+  private final String member;
+  private final String zone;
+  private final double lengthS;
+  private final boolean needed;
+  private final String self;
+
+  private long asked;
+  private long voidUpTo;
+  private long term;
+  private long of;
+  private double echo;
+  private double until = Double.NEGATIVE_INFINITY;
+  private double lastContact;
+  private double lastAlone;
+
+  /** The grant was given back, and the owner may not know it yet. */
+  private boolean givingBack;
+
+  private Loop.Timer timer;
+  private boolean closed;
+
+  public Deputy(
+      Loop loop,
+      MeshClient mesh,
+      Ownership ownership,
+      Cache cache,
+      StateClient state,
+      Settings s,
+      long nonce) {
+    this.loop = loop;
+    this.mesh = mesh;
+    this.ownership = ownership;
+    this.cache = cache;
+    this.state = state;
+    this.member = s.member();
+    this.zone = s.zone();
+    this.lengthS = s.leaseS() * Constants.DEPUTY_LEASES * (1 - Constants.DRIFT);
+    this.needed = !s.deputies().isEmpty();
+    this.self = Long.toHexString(nonce);
+    // An earlier process of this member may have answered until it ended.
+    this.lastAlone = loop.now();
+    this.lastContact = loop.now();
+  }
+
+  public void start() {
+    if (needed) {
+      tick();
+    }
+  }
+
+  public void close() {
+    closed = true;
+    if (timer != null) {
+      timer.cancel();
+    }
+  }
+
+  /** True if this worker's report may be answered under {@link #term} and without orders. */
+  public boolean answers(Report r) {
+    double now = loop.now();
+    boolean may =
+        now < until
+            && now > lastContact + Constants.DEPUTY_ALONE_S * (1 + Constants.DRIFT)
+            && state.failingFor() > Constants.KEEP_AFTER_S
+            && zone.equals(r.zone())
+            && r.term() <= term;
+    if (may) {
+      lastAlone = now;
+    }
+    return may;
+  }
+
+  public long term() {
+    return term;
+  }
+
+  private void tick() {
+    if (closed) {
+      return;
+    }
+    double now = loop.now();
+    StateCodec.Owner o = cache.owner();
+    String address = o == null ? null : mesh.addressOf(o.member());
+    if (ownership.entitled()) {
+      // Should we lose the fleet, the next owner counts as much from its own takeover.
+      term = ownership.term();
+      of = 0;
+      until = now + lengthS;
+      lastContact = now;
+    } else if (address != null) {
+      ask(address, now);
+    }
+    boolean lost = now - lastContact > Constants.DEPUTY_GIVES_BACK_S && state.reached();
+    if (lost && of != 0 && until > now) {
+      // Users and workers are better served by the owner, which must not wait for us.
+      until = Double.NEGATIVE_INFINITY;
+      voidUpTo = asked;
+      givingBack = true;
+    }
+    if (givingBack && state.reached()) {
+      giveBack(now);
+    }
+    timer = loop.after(Constants.DEPUTY_ASKS_S, this::tick);
+  }
+
+  private void ask(String address, double sentAt) {
+    long n = ++asked;
+    mesh.send(
+        address,
+        MeshCodec.deputy(member, self, n, of, echo, sentAt - lastAlone),
+        mesh.timeoutS(),
+        r -> {
+          if (r != null && r.path("granted").asBoolean() && n > voidUpTo) {
+            granted(r, sentAt);
+          }
+        });
+  }
+
+  private void granted(JsonNode r, double sentAt) {
+    long itsTerm = r.path("term").asLong();
+    if (closed || ownership.owner() || itsTerm < term) {
+      return;
+    }
+    boolean same = of == r.path("of").asLong();
+    term = itsTerm;
+    of = r.path("of").asLong();
+    echo = same ? Math.max(echo, r.path("at").asDouble()) : r.path("at").asDouble();
+    until = same ? Math.max(until, sentAt + lengthS) : sentAt + lengthS;
+    lastContact = loop.now();
+    givingBack = false;
+  }
+
+  private void giveBack(double now) {
+    long upTo = voidUpTo;
+    state.commit(
+        new StateClient.Txn()
+            .put(StateCodec.DEPUTIES + member, StateCodec.deputy(self, upTo, of, now - lastAlone)),
+        Use.CLAIM,
+        r -> {
+          if (r.done() && voidUpTo == upTo) {
+            givingBack = false;
+          }
+        });
+  }
+}
--- a/src/main/java/graderelay/worker/WorkerApi.java
+++ b/src/main/java/graderelay/worker/WorkerApi.java
@@ -31,6 +31,7 @@
   private final Ownership ownership;
   private final Cache cache;
   private final MeshClient mesh;
+  private final Deputy deputy;
   private final String member;
   private final BiFunction<Report, String, List<Order>> fleet;
   private final Map<String, Pointed> pointed = new LinkedHashMap<>();
@@ -40,12 +41,14 @@
       Ownership ownership,
       Cache cache,
       MeshClient mesh,
+      Deputy deputy,
       String member,
       BiFunction<Report, String, List<Order>> fleet) {
     this.loop = loop;
     this.ownership = ownership;
     this.cache = cache;
     this.mesh = mesh;
+    this.deputy = deputy;
     this.member = member;
     this.fleet = fleet;
   }
@@ -65,6 +68,11 @@
       e.to().accept(Answer.json(200, Json.write(WorkerCodec.response(r.term(), List.of(), 0))));
       return;
     }
+    if (deputy.answers(r)) {
+      e.to()
+          .accept(Answer.json(200, Json.write(WorkerCodec.response(deputy.term(), List.of(), 0))));
+      return;
+    }
     ownership.wantKeep();
     StateCodec.Owner o = cache.owner();
     String address = o == null ? null : mesh.addressOf(o.member());
--- a/src/test/java/graderelay/CoreStories.java
+++ b/src/test/java/graderelay/CoreStories.java
@@ -50,6 +50,7 @@
     Policy p =
         new Policy(
             List.of(new Team("team", 8, 24, 0, 0)),
+            Map.of(),
             SimWorld.REPORT_S,
             SimWorld.LEASE_S,
             3,
--- a/src/test/java/graderelay/FleetStoriesTest.java
+++ b/src/test/java/graderelay/FleetStoriesTest.java
@@ -6,6 +6,7 @@
 
 import graderelay.core.Action;
 import graderelay.core.Scheduler;
+import graderelay.service.Constants;
 import graderelay.sim.SimWorld;
 import java.util.HashSet;
 import java.util.List;
@@ -158,4 +159,90 @@
     }
     return ordinary;
   }
+
+  // ---------------------------------------------------------------- zones that are cut off
+
+  /** A service whose replicas run in both zones, by the time that everybody has settled. */
+  private static SimWorld spread(long seed) {
+    SimWorld w = world(seed, SimWorld.Shape.of(5));
+    w.submit(0, w.job("j-000110", 6, 1, 0, false, true));
+    w.loop.run(20);
+    assertThat(w.rules.starts).isEqualTo(6); // A machine was rented in each of them for it.
+    return w;
+  }
+
+  @ParameterizedTest
+  @CsvSource({"true", "false"})
+  void whatRunsInAZoneThatIsCutOffGoesOnForLongerThanALease(boolean ownersZone) {
+    SimWorld w = spread(61);
+    int owner = w.owner();
+    String zone = (owner % 2 == 0) == ownersZone ? "a" : "b";
+    w.net.cutZone(zone, true);
+    w.loop.run(2 * SimWorld.LEASE_S + 4);
+    assertThat(w.owner() == owner).isEqualTo(!ownersZone);
+    w.net.cutZone(zone, false);
+    w.loop.run(20);
+    assertThat(w.rules.starts).as(w.rules.trace().toString()).isEqualTo(6); // Nothing was lost.
+    assertThat(w.stage(0, "j-000110")).isEqualTo("running");
+    fine(w);
+  }
+
+  @Test
+  void aJobCancelledWhileItsZoneIsCutOffIsGoneInTime() {
+    SimWorld w = spread(62);
+    String zone = w.owner() % 2 == 0 ? "b" : "a";
+    w.net.cutZone(zone, true);
+    w.loop.run(10);
+    w.cancel(w.owner(), w.rules.jobs.get("j-000110"));
+    w.loop.run(SimWorld.CANCEL_S + 20); // The rules are judged all along.
+    w.net.cutZone(zone, false);
+    w.loop.run(20);
+    assertThat(w.stage(0, "j-000110")).isEqualTo("cancelled");
+    fine(w);
+  }
+
+  @Test
+  void whatDiesWithItsWholeZoneStartsElsewhereOnceItsDeputiesGrantIsOver() {
+    SimWorld w = world(63, SimWorld.Shape.of(5));
+    w.submit(0, w.job("j-000111", 4, 1, 0, false));
+    w.loop.run(20);
+    int starts = w.rules.starts;
+    String zone = w.owner() % 2 == 0 ? "b" : "a";
+    for (int i = 0; i < w.size; i++) {
+      if ((i % 2 == 0 ? "a" : "b").equals(zone)) {
+        w.crash(i);
+      }
+    }
+    w.workers.values().stream()
+        .filter(x -> x.zone.equals(zone))
+        .map(x -> x.name)
+        .toList()
+        .forEach(w::cutOff);
+    w.loop.run(SimWorld.LEASE_S * (Constants.DEPUTY_LEASES + 1) + 15);
+    long running = w.workers.values().stream().filter(x -> !x.zone.equals(zone)).count();
+    assertThat(running).isPositive();
+    assertThat(w.rules.starts).isGreaterThanOrEqualTo(starts);
+    fine(w);
+  }
+
+  @Test
+  void aDeputyThatOnlyTheOwnerCannotReachPutsOffNoLease() {
+    SimWorld w = world(64, SimWorld.Shape.of(5));
+    w.submit(0, w.job("j-000112", 1, 4, 300, false));
+    w.loop.run(20);
+    int starts = w.rules.starts;
+    for (int i = 0; i < w.size; i++) {
+      if (i != w.owner()) {
+        w.net.cut("c" + i, "c" + w.owner());
+      }
+    }
+    w.loop.run(5);
+    w.cutOff(runner(w, "j-000112/0"));
+    double cutAt = w.loop.now();
+    while (w.rules.starts == starts && w.loop.now() < cutAt + 60) {
+      w.loop.run(0.1);
+    }
+    assertThat(w.loop.now() - cutAt).isBetween(SimWorld.LEASE_S - 2, SimWorld.LEASE_S + 10);
+    fine(w);
+  }
 }
