--- a/src/main/java/graderelay/core/Deadlines.java
+++ b/src/main/java/graderelay/core/Deadlines.java
@@ -170,6 +170,9 @@
       }
       double estimate = estimate(s);
       double work = remaining(j, estimate, now);
+      if (world.policy.waits().containsKey(s.jobClass())) {
+        work *= Constants.HURRIED_WORK; // It has more than its deadline to meet.
+      }
       total += work;
       running += j.claims.size() * s.cpus();
       if (!back.contains(j)) {
--- a/src/main/java/graderelay/service/Constants.java
+++ b/src/main/java/graderelay/service/Constants.java
@@ -186,6 +186,12 @@
    */
   public static final double PATIENT_BOOTS = 3;
 
+  /**
+   * Times the work that patient jobs of a class with a wanted wait are counted as: bursts come
+   * while machines boot, and a late start costs more than a machine that stands idle for a minute.
+   */
+  public static final double HURRIED_WORK = 1.5;
+
   /** Seconds in which running work is counted at most when nothing presses. */
   public static final double PATIENT_S = 60;
 
