--- a/src/main/java/graderelay/service/Constants.java
+++ b/src/main/java/graderelay/service/Constants.java
@@ -266,6 +266,12 @@
   /** Share of a worker's lease that the owner's hold lasts: takeovers must beat the lease. */
   public static final double HOLD_OF_LEASE = 0.3;
 
+  /**
+   * Seconds that the hold lasts at most: four renewals, each with time for a slow answer. With a
+   * longer one nobody owns the fleet for longer after each end of an owner.
+   */
+  public static final double MOST_HOLD_S = 3.6;
+
   /** Share of the hold between renewals, so that two may be lost. */
   public static final double RENEW_OF_HOLD = 0.25;
 
