A tenth of the connections is kept for what a controller must reach

At 0.9 new ones of users and workers are closed at once; idle ones are closed from 0.79 on, as before.

--- a/src/main/java/graderelay/cli/Serve.java
+++ b/src/main/java/graderelay/cli/Serve.java
@@ -49,7 +49,8 @@
     var random = new SplittableRandom(java.nio.ByteBuffer.wrap(seed).getLong());
     var client = new HttpClient(loop, (int) (s.maxConnections() * Constants.IDLE_LINES_SHARE));
     Node node = new Node(clock, client, s, random);
-    HttpServer api = new HttpServer(loop, clock, s.maxConnections(), node::handle);
+    int most = (int) (s.maxConnections() * Constants.ACCEPT_SHARE);
+    HttpServer api = new HttpServer(loop, clock, most, node::handle);
     HttpServer mesh = new HttpServer(loop, clock, s.maxConnections(), node::handleMesh);
     try {
       api.listen(s.apiAddress()).sync();
--- a/src/main/java/graderelay/service/Constants.java
+++ b/src/main/java/graderelay/service/Constants.java
@@ -504,8 +504,14 @@
   /** Seconds in which a request must have arrived whole. */
   public static final double WHOLE_REQUEST_S = 10;
 
-  /** Share of the allowed connections at which idle ones are closed, the longest idle first. */
-  public static final double CONNECTION_SHARE = 0.8;
+  /**
+   * Share of the allowed connections that users and workers may have: the rest is for the state
+   * service, the other controllers and direct orders, also when a whole fleet comes at once.
+   */
+  public static final double ACCEPT_SHARE = 0.9;
+
+  /** Share of those at which idle ones are closed, the longest idle first. */
+  public static final double CONNECTION_SHARE = 0.88;
 
   /** Share of the allowed connections that idle ones to the outside may take. */
   public static final double IDLE_LINES_SHARE = 0.06;
