--- a/src/test/java/graderelay/GrownStoriesTest.java
+++ b/src/test/java/graderelay/GrownStoriesTest.java
@@ -392,7 +392,7 @@
   @Test
   void whatAReportCostsDoesNotGrowWithTheFleet() {
     Scheduler s = CoreStories.scheduler(1);
-    int machines = 600;
+    int machines = 1600;
     for (int i = 0; i < machines; i++) {
       hearing(s, name(i), 0);
     }
@@ -431,7 +431,7 @@
   @Test
   void whatARoundCostsGrowsWithTheTasksAndNotWithTheirProductWithTheFleet() {
     Scheduler s = CoreStories.scheduler(1);
-    int machines = 600;
+    int machines = 1600;
     for (int i = 0; i < machines; i++) {
       hearing(s, name(i), 0);
     }
