Overdue work of a class with a wanted start or end still rents machines

Now: of classes with a wanted start or end the next wanted time that can still be met counts, and none being left, a minute from now; the team's limit still bounds what is rented.

--- a/src/main/java/graderelay/core/Deadlines.java
+++ b/src/main/java/graderelay/core/Deadlines.java
@@ -68,12 +68,38 @@
     return boot;
   }
 
-  /** When the job's work should be done at the latest, counting a wanted wait as well. */
-  private double dueAt(Job j, double estimate) {
-    Double wait = world.policy.waits().get(j.spec.jobClass());
-    double whole = j.spec.deadlineS();
-    boolean open = !j.open.isEmpty();
-    return j.submittedAt + (wait == null || !open ? whole : Math.min(whole, wait + estimate));
+  /** True if more than its deadline is wanted of the class: a first start, or an end, by a time. */
+  private boolean hurried(JobSpec s) {
+    return world.policy.waits().containsKey(s.jobClass())
+        || world.policy.finishes().containsKey(s.jobClass());
+  }
+
+  /**
+   * By when the job's work should be done. Of hurried work that is the next wanted time that can
+   * still be met, and when none can, soon: an overdue job is to run as well, and must not wait on a
+   * fleet that is made smaller since nothing presses.
+   */
+  private double dueAt(Job j, double estimate, double now) {
+    JobSpec s = j.spec;
+    double whole = j.submittedAt + s.deadlineS();
+    if (!hurried(s)) {
+      return whole;
+    }
+    double next = now + Constants.PATIENT_S + Constants.DEADLINE_MARGIN_S + estimate * 0.5;
+    Double wait = world.policy.waits().get(s.jobClass());
+    Double finish = world.policy.finishes().get(s.jobClass());
+    double[] wanted = {
+      wait == null || j.open.isEmpty() ? whole : j.submittedAt + wait + estimate,
+      finish == null ? whole : j.submittedAt + finish,
+      whole
+    };
+    double due = Double.MAX_VALUE;
+    for (double w : wanted) {
+      if (w - now - Constants.DEADLINE_MARGIN_S > estimate) {
+        due = Math.min(due, w);
+      }
+    }
+    return due == Double.MAX_VALUE ? next : due;
   }
 
   private record Part(Job job, double due, double seconds, double estimate) {}
@@ -170,13 +196,13 @@
       }
       double estimate = estimate(s);
       double work = remaining(j, estimate, now);
-      if (world.policy.waits().containsKey(s.jobClass())) {
+      if (hurried(s)) {
         work *= Constants.HURRIED_WORK; // It has more than its deadline to meet.
       }
       total += work;
       running += j.claims.size() * s.cpus();
-      if (!back.contains(j)) {
-        Due d = new Due(dueAt(j, estimate), work, estimate);
+      if (hurried(s) || !back.contains(j)) {
+        Due d = new Due(dueAt(j, estimate, now), work, estimate);
         all.add(d);
         byTeam.computeIfAbsent(s.team(), t -> new ArrayList<>()).add(d);
       }
--- a/src/test/java/graderelay/FleetStoriesTest.java
+++ b/src/test/java/graderelay/FleetStoriesTest.java
@@ -172,9 +172,13 @@
 
   /** Ordinary machines rented for twenty tasks of 10 s while there are no others to be had. */
   private static int ordinary(double wait, double deadline) {
+    return ordinary(wait, deadline, 0);
+  }
+
+  private static int ordinary(double wait, double deadline, double submittedAt) {
     Scheduler s = CoreStories.takingOver(1, Map.of("batch", List.of(wait)));
     s.loaded(0);
-    s.onJob(CoreStories.due("j-1", 20, deadline), false, 5, 0, 0);
+    s.onJob(CoreStories.due("j-1", 20, deadline), false, 5, submittedAt, 0);
     int ordinary = 0;
     for (int i = 1; i < 4; i++) {
       s.tick(i);
@@ -279,4 +283,10 @@
     assertThat(w.loop.now() - cutAt).isBetween(SimWorld.LEASE_S - 2, SimWorld.LEASE_S + 10);
     fine(w);
   }
+
+  @Test
+  void overdueWorkOfAClassWithAWantedStartStillRentsMachines() {
+    // All that was wanted of it is over, and it still has to run.
+    assertThat(ordinary(150, 400, -500)).isEqualTo(2);
+  }
 }
