--- a/src/test/java/graderelay/CoreStories.java
+++ b/src/test/java/graderelay/CoreStories.java
@@ -78,20 +78,31 @@
   }
 
   static JobSpec array(String id, int tasks, String image) {
-    return spec(id, Kind.ARRAY, Priority.NORMAL, tasks, image, null);
+    return spec(id, Kind.ARRAY, Priority.NORMAL, tasks, image, null, false);
   }
 
   /** An array that should be done so long after its submission. */
   static JobSpec due(String id, int tasks, double deadlineS) {
-    return spec(id, Kind.ARRAY, Priority.NORMAL, tasks, "i", deadlineS);
+    return spec(id, Kind.ARRAY, Priority.NORMAL, tasks, "i", deadlineS, false);
   }
 
   static JobSpec service(String id, int tasks) {
-    return spec(id, Kind.SERVICE, Priority.PROD, tasks, "i", null);
+    return spec(id, Kind.SERVICE, Priority.PROD, tasks, "i", null, false);
+  }
+
+  /** A service of which at most half may be in one zone. */
+  static JobSpec spread(String id, int tasks) {
+    return spec(id, Kind.SERVICE, Priority.PROD, tasks, "i", null, true);
   }
 
   private static JobSpec spec(
-      String id, Kind kind, Priority priority, int tasks, String image, Double deadlineS) {
+      String id,
+      Kind kind,
+      Priority priority,
+      int tasks,
+      String image,
+      Double deadlineS,
+      boolean spread) {
     boolean array = kind == Kind.ARRAY;
     return new JobSpec(
         id,
@@ -108,7 +119,7 @@
         null,
         null,
         false,
-        false,
+        spread,
         array,
         array ? 10 : 0,
         0,
--- a/src/test/java/graderelay/FleetStoriesTest.java
+++ b/src/test/java/graderelay/FleetStoriesTest.java
@@ -289,4 +289,23 @@
     // All that was wanted of it is over, and it still has to run.
     assertThat(ordinary(150, 400, -500)).isEqualTo(2);
   }
+
+  // ---------------------------------------------------------------- work that has to be spread
+
+  @Test
+  void replicasThatOneZoneMayNotTakeAreRentedForInAnother() {
+    Scheduler s = CoreStories.scheduler(1);
+    CoreStories.machine(s, "n-1", 1, 1, 0); // In zone a, with room for all of them.
+    s.onJob(CoreStories.spread("j-1", 2), false, 5, 0.1, 0.1);
+    CoreStories.commitAll(s, 10, 0.2);
+    assertThat(CoreStories.claimsOf(s, "n-1")).isEqualTo(1);
+    s.tick(1);
+    List<String> zones = new ArrayList<>();
+    for (Action a : CoreStories.taken(s)) {
+      if (a instanceof Action.Hire h) {
+        zones.add(h.zone());
+      }
+    }
+    assertThat(zones).containsExactly("b");
+  }
 }
