The story of a dead zone could not fail; one word for the wait for the next start

The story only asked that starts do not become fewer and that some worker stands outside the zone, which is always so. The loop that waits for the next start stood three times, in three files of stories.

--- a/src/test/java/graderelay/FleetStoriesTest.java
+++ b/src/test/java/graderelay/FleetStoriesTest.java
@@ -2,6 +2,7 @@
 
 import static graderelay.StoryWords.fine;
 import static graderelay.StoryWords.runner;
+import static graderelay.StoryWords.secondsToNextStart;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import graderelay.core.Action;
@@ -242,12 +243,11 @@
   @Test
   void whatDiesWithItsWholeZoneStartsElsewhereOnceItsDeputiesGrantIsOver() {
     SimWorld w = world(63, SimWorld.Shape.of(5));
-    w.submit(0, w.job("j-000111", 4, 1, 0, false));
+    w.submit(0, w.job("j-000111", 1, 4, 300, false));
     w.loop.run(20);
-    int starts = w.rules.starts;
-    String zone = w.owner() % 2 == 0 ? "b" : "a";
+    String zone = w.workers.get(runner(w, "j-000111/0")).zone;
     for (int i = 0; i < w.size; i++) {
-      if ((i % 2 == 0 ? "a" : "b").equals(zone)) {
+      if (w.settings(i).zone().equals(zone)) {
         w.crash(i);
       }
     }
@@ -256,10 +256,9 @@
         .map(x -> x.name)
         .toList()
         .forEach(w::cutOff);
-    w.loop.run(SimWorld.LEASE_S + w.settings(0).grantS() + 15);
-    long running = w.workers.values().stream().filter(x -> !x.zone.equals(zone)).count();
-    assertThat(running).isPositive();
-    assertThat(w.rules.starts).isGreaterThanOrEqualTo(starts);
+    // The owner can't know whether they are dead or keep the task alive.
+    double longest = w.settings(0).grantS() + SimWorld.LEASE_S;
+    assertThat(secondsToNextStart(w)).isBetween(longest - 3, longest + 15);
     fine(w);
   }
 
@@ -275,12 +274,9 @@
       }
     }
     w.loop.run(5);
+    assertThat(w.rules.starts).isEqualTo(starts);
     w.cutOff(runner(w, "j-000112/0"));
-    double cutAt = w.loop.now();
-    while (w.rules.starts == starts && w.loop.now() < cutAt + 60) {
-      w.loop.run(0.1);
-    }
-    assertThat(w.loop.now() - cutAt).isBetween(SimWorld.LEASE_S - 2, SimWorld.LEASE_S + 10);
+    assertThat(secondsToNextStart(w)).isBetween(SimWorld.LEASE_S - 2, SimWorld.LEASE_S + 10);
     fine(w);
   }
 
--- a/src/test/java/graderelay/GrownStoriesTest.java
+++ b/src/test/java/graderelay/GrownStoriesTest.java
@@ -2,6 +2,7 @@
 
 import static graderelay.StoryWords.fine;
 import static graderelay.StoryWords.runner;
+import static graderelay.StoryWords.secondsToNextStart;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import graderelay.core.Action;
@@ -161,14 +162,9 @@
     w.net.copyDelayS = 2 * SimWorld.LEASE_S;
     w.submit(0, w.job("j-000067", 1, 4, 300, false));
     w.loop.run(30);
-    int starts = w.rules.starts;
     w.cutOff(runner(w, "j-000067/0"));
-    double cutAt = w.loop.now();
-    while (w.rules.starts == starts && w.loop.now() < cutAt + 60) {
-      w.loop.run(0.1);
-    }
     // A lease, and what it takes to rent a machine and to start again.
-    assertThat(w.loop.now() - cutAt).isBetween(SimWorld.LEASE_S, SimWorld.LEASE_S + 10);
+    assertThat(secondsToNextStart(w)).isBetween(SimWorld.LEASE_S, SimWorld.LEASE_S + 10);
     fine(w);
   }
 
--- a/src/test/java/graderelay/StoriesTest.java
+++ b/src/test/java/graderelay/StoriesTest.java
@@ -2,6 +2,7 @@
 
 import static graderelay.StoryWords.fine;
 import static graderelay.StoryWords.runner;
+import static graderelay.StoryWords.secondsToNextStart;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -183,12 +184,7 @@
     w.crash(owner);
     w.loop.after(3, () -> w.start(owner));
     w.cutOff(machine);
-    double cutAt = w.loop.now();
-    int starts = w.rules.starts;
-    while (w.rules.starts == starts && w.loop.now() < cutAt + 60) {
-      w.loop.run(0.1);
-    }
-    assertThat(w.loop.now() - cutAt).isBetween(SimWorld.LEASE_S, 40.0);
+    assertThat(secondsToNextStart(w)).isBetween(SimWorld.LEASE_S, 40.0);
     fine(w);
   }
 
--- a/src/test/java/graderelay/StoryWords.java
+++ b/src/test/java/graderelay/StoryWords.java
@@ -29,4 +29,14 @@
         .orElseThrow()
         .name;
   }
+
+  /** Seconds until the next start of a task, or a minute if there is none by then. */
+  static double secondsToNextStart(SimWorld w) {
+    int starts = w.rules.starts;
+    double from = w.loop.now();
+    while (w.rules.starts == starts && w.loop.now() < from + 60) {
+      w.loop.run(0.1);
+    }
+    return w.loop.now() - from;
+  }
 }
