Who renews a lease knows the cancellations that must be over before it ends

Cause: promises, bars, leases kept without an owner and deputies said nothing of what anybody had confirmed to users since the last read of the records.

Change: Cancellations keeps one figure, the time up to which every cancellation is known, moved by reads of the records and by words of all controllers that could have told a user. All four renewers ask it, and every answer that renews carries the kills. A barred controller confirms no cancellation (condition of its write) and does not repeat one, so that the owner's last read is all it can have told.

--- a/src/main/java/graderelay/api/UserApi.java
+++ b/src/main/java/graderelay/api/UserApi.java
@@ -12,6 +12,7 @@
 import graderelay.service.Constants;
 import graderelay.service.Settings;
 import graderelay.state.Cache;
+import graderelay.state.Cancellations;
 import graderelay.state.Ends;
 import graderelay.state.StateClient;
 import graderelay.state.StateClient.How;
@@ -36,6 +37,7 @@
   private final Loop loop;
   private final StateClient state;
   private final Cache cache;
+  private final Cancellations cancellations;
   private final Settings settings;
   private final Supplier<Collection<MachineType>> types;
   private final IntSupplier sliceCap;
@@ -46,12 +48,14 @@
       Loop loop,
       StateClient state,
       Cache cache,
+      Cancellations cancellations,
       Settings settings,
       Supplier<Collection<MachineType>> types,
       IntSupplier sliceCap) {
     this.loop = loop;
     this.state = state;
     this.cache = cache;
+    this.cancellations = cancellations;
     this.settings = settings;
     this.types = types;
     this.sliceCap = sliceCap;
@@ -278,6 +282,10 @@
             return;
           }
           Cache.Entry live = cache.job(id);
+          if (live != null && live.stop && barred()) {
+            p.unavailable("the owner may not know that the job is cancelled; ask again");
+            return;
+          }
           if (live != null) {
             then.accept(live(live));
             return;
@@ -291,6 +299,15 @@
         });
   }
 
+  /**
+   * True if the owner has barred this controller. It then counts on hearing of every cancellation
+   * that a user is told of by reading the records, also when it can't read them any more: so none
+   * is confirmed here until the owner has lifted the bar.
+   */
+  private boolean barred() {
+    return cache.bar(settings.member()) != null;
+  }
+
   private void lookForEnd(Pending p, String id, Consumer<Found> then) {
     ends.look(
         id,
@@ -369,6 +386,8 @@
             p.answer(404, Json.object().put("error", "no such job"));
           } else if (f.live() == null || f.live().stop) {
             p.answer(200, UserCodec.stage(id, f.stage()));
+          } else if (barred()) {
+            p.unavailable("this controller may not cancel before the owner hears it again");
           } else {
             stop(p, id, f.live());
           }
@@ -379,12 +398,16 @@
   private void stop(Pending p, String id, Cache.Entry live) {
     String key = StateCodec.jobKey(id);
     StateClient.Txn txn =
-        new StateClient.Txn().when(key, live.mark).put(key, StateCodec.job(live.spec, true));
+        new StateClient.Txn()
+            .when(key, live.mark)
+            .when(StateCodec.barKey(settings.member()), 0)
+            .put(key, StateCodec.job(live.spec, true));
     state.commit(
         txn,
         Use.CLAIM,
         r -> {
           if (r.done()) {
+            cancellations.committed(id);
             LOG.info("stop request for {} recorded", id);
             p.answer(200, UserCodec.stage(id, "cancelled"));
           } else if (r.how() == How.NOT_EXECUTED) {
--- a/src/main/java/graderelay/core/Scheduler.java
+++ b/src/main/java/graderelay/core/Scheduler.java
@@ -93,13 +93,31 @@
       j.stop |= stop;
     }
     if (j.stop) {
-      world.stopped.add(j);
-      world.maybeOver.add(j);
-      orders.stopClaims(j, now);
+      stopped(j, now);
     }
     world.dirty = true;
   }
 
+  /**
+   * The job was cancelled, although its record has not shown that yet: no start, no claim and no
+   * end of it can commit against the record as we know it, and its tasks are stopped at once.
+   */
+  public void onCancelled(String job, double now) {
+    Job j = world.jobs.get(job);
+    if (j != null && !j.stop) {
+      world.note(job + " was cancelled, says a peer; " + j.claims.size() + " claims");
+      j.stop = true;
+      stopped(j, now);
+      world.dirty = true;
+    }
+  }
+
+  private void stopped(Job j, double now) {
+    world.stopped.add(j);
+    world.maybeOver.add(j);
+    orders.stopClaims(j, now);
+  }
+
   /** What an earlier owner kept of the demand. */
   public void onDemand(List<Action.Demand> classes, double now) {
     classes.forEach(d -> planner.onDemand(d, now));
--- a/src/main/java/graderelay/mesh/MeshApi.java
+++ b/src/main/java/graderelay/mesh/MeshApi.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import graderelay.net.Exchange;
 import graderelay.net.Exchange.Answer;
+import graderelay.state.Cancellations;
 import graderelay.state.Ownership;
 import graderelay.state.StateClient;
 import graderelay.wire.Json;
@@ -20,6 +21,7 @@
 
   private final Ownership ownership;
   private final StateClient state;
+  private final Cancellations cancellations;
   private final Relayed reports;
   private final Function<JsonNode, ObjectNode> deputies;
   private final Exchange.Handler users;
@@ -27,11 +29,13 @@
   public MeshApi(
       Ownership ownership,
       StateClient state,
+      Cancellations cancellations,
       Relayed reports,
       Function<JsonNode, ObjectNode> deputies,
       Exchange.Handler users) {
     this.ownership = ownership;
     this.state = state;
+    this.cancellations = cancellations;
     this.reports = reports;
     this.deputies = deputies;
     this.users = users;
@@ -47,13 +51,10 @@
         boolean granted =
             ownership.promise(
                 n.path("member").asText(), n.path("term").asLong(), n.path("seconds").asDouble());
-        answer(e, MeshCodec.promised(granted, state.reached()));
+        answer(e, promised(granted));
       }
       case MeshCodec.KEEP ->
-          answer(
-              e,
-              MeshCodec.promised(
-                  ownership.promiseKeep(n.path("seconds").asDouble()), state.reached()));
+          answer(e, promised(ownership.promiseKeep(n.path("seconds").asDouble())));
       case MeshCodec.SHARE -> {
         ownership.takeShare(n.path("term").asLong(), n.path("changes").asDouble());
         answer(e, MeshCodec.shared(state.wantedChanges()));
@@ -80,6 +81,11 @@
     }
   }
 
+  /** The asker renews leases: what we know of cancellations goes with it, granted or not. */
+  private ObjectNode promised(boolean granted) {
+    return MeshCodec.word(MeshCodec.promised(granted, state.reached()), cancellations.word());
+  }
+
   private static void answer(Exchange e, ObjectNode n) {
     e.to().accept(new Answer(200, Json.writeCbor(n), "application/cbor", 0, false));
   }
--- a/src/main/java/graderelay/service/Constants.java
+++ b/src/main/java/graderelay/service/Constants.java
@@ -386,6 +386,30 @@
   /** Seconds before the end of a promise at which it counts as over. */
   public static final double KEEP_MARGIN_S = 0.05;
 
+  /**
+   * Seconds of a cancellation's time that are left when the last lease that was renewed without
+   * knowing of it is over: for answers under way and for a worker that is slow to look.
+   */
+  public static final double CANCEL_MARGIN_S = 1;
+
+  /**
+   * Seconds by which what is known of cancellations may always be old: a slow answer of the state
+   * service costs no lease, also where leases are about as long as cancellations may take.
+   */
+  public static final double LEAST_RENEW_S = 4;
+
+  /** Share of the time that is left to spare for processes that have just begun. */
+  public static final double BEGINNERS_SHARE = 0.4;
+
+  /** Seconds below which a process that has just begun had better wait for the records. */
+  public static final double LEAST_BEGINNERS_S = 0.5;
+
+  /** Seconds by which what is known of cancellations is old when the peers are asked. */
+  public static final double ASK_CANCELLATIONS_S = 2;
+
+  /** Cancelled jobs in a word to a peer; beyond that it says nothing. */
+  public static final int MOST_CANCELLATIONS = 4000;
+
   /** Seconds of failing calls after which a node takes the state service for away. */
   public static final double KEEP_AFTER_S = 0.5;
 
@@ -619,7 +643,7 @@
   public static final double MESH_TIMEOUT_S = 1.0;
 
   /** Orders in one response to a worker, so that its line stays well below 64 KiB. */
-  public static final int MOST_ORDERS = 300;
+  public static final int MOST_ORDERS = 400;
 
   /** Seconds after which an idle connection is closed. */
   public static final double IDLE_CONNECTION_S = 90;
--- a/src/main/java/graderelay/service/FleetDuty.java
+++ b/src/main/java/graderelay/service/FleetDuty.java
@@ -119,6 +119,11 @@
     stepSoon();
   }
 
+  void onCancelled(String job) {
+    core.onCancelled(job, loop.now());
+    stepSoon();
+  }
+
   void onJobGone(String id) {
     core.onJobGone(id, loop.now());
     stepSoon();
--- a/src/main/java/graderelay/service/Node.java
+++ b/src/main/java/graderelay/service/Node.java
@@ -18,9 +18,11 @@
 import graderelay.net.Loop;
 import graderelay.net.Transport;
 import graderelay.state.Cache;
+import graderelay.state.Cancellations;
 import graderelay.state.Ownership;
 import graderelay.state.StateClient;
 import graderelay.wire.Json;
+import graderelay.wire.MeshCodec;
 import graderelay.worker.Deputy;
 import graderelay.worker.WorkerApi;
 import graderelay.worker.WorkerClient;
@@ -44,6 +46,7 @@
   private final RandomGenerator random;
   private final StateClient state;
   private final Cache cache;
+  private final Cancellations cancellations;
   private final Ownership ownership;
   private final CloudClient cloud;
   private final WorkerClient workers;
@@ -81,6 +84,8 @@
             s.peers().size());
     this.cache = new Cache(loop, state, new Changes());
     this.mesh = new MeshClient(transport, s.peers());
+    this.cancellations = new Cancellations(loop, cache, s);
+    cancellations.listen(this::onCancelled);
     this.ownership =
         new Ownership(
             loop,
@@ -90,13 +95,18 @@
             s.meshAddress(),
             s.holdS(),
             mesh,
+            cancellations,
             random::nextDouble,
             new Office());
     this.cloud = new CloudClient(loop, transport, s.cloudAddress(), s.cloudRps());
     this.workers = new WorkerClient(transport);
-    this.users = new UserApi(loop, state, cache, s, () -> types, () -> operators.sliceCap());
-    this.deputy = new Deputy(loop, mesh, ownership, cache, state, s, random.nextLong());
-    this.reports = new WorkerApi(loop, ownership, cache, mesh, deputy, s.member(), this::onReport);
+    this.users =
+        new UserApi(loop, state, cache, cancellations, s, () -> types, () -> operators.sliceCap());
+    this.deputy =
+        new Deputy(loop, mesh, ownership, cache, state, cancellations, s, random.nextLong());
+    this.reports =
+        new WorkerApi(
+            loop, ownership, cache, mesh, deputy, cancellations, s.member(), this::onReport);
     this.admin =
         new AdminApi(
             loop,
@@ -111,7 +121,8 @@
             this::ready);
     this.hedge = new Hedge(loop, mesh, state::stuck, ownership::awayForAll, ownership::hears);
     this.meshApi =
-        new MeshApi(ownership, state, reports::relayed, this::onDeputy, this::handleRelayed);
+        new MeshApi(
+            ownership, state, cancellations, reports::relayed, this::onDeputy, this::handleRelayed);
   }
 
   private static int mostSlice(Settings s) {
@@ -232,7 +243,16 @@
 
   /** A peer asks to be our deputy in its zone: only while we speak for the controllers. */
   private ObjectNode onDeputy(JsonNode n) {
-    return duty != null && ownership.entitled() ? duty.onDeputy(n) : Json.object();
+    return duty != null && ownership.entitled()
+        ? MeshCodec.word(duty.onDeputy(n), cancellations.word())
+        : Json.object();
+  }
+
+  /** A peer says that a job was cancelled: carried out at once, written up from its record. */
+  private void onCancelled(String job) {
+    if (duty != null) {
+      duty.onCancelled(job);
+    }
   }
 
   // ---------------------------------------------------------------- requests
--- a/src/main/java/graderelay/service/Settings.java
+++ b/src/main/java/graderelay/service/Settings.java
@@ -53,6 +53,37 @@
     return Math.max(0, Math.min(leaseS * Constants.DEPUTY_LEASES, most));
   }
 
+  /**
+   * Seconds by which what is known of cancellations may be old when a worker's lease is renewed: a
+   * task lives for a lease from then, and must be gone within a cancellation's time. Less where
+   * processes that have just begun may renew without knowing anything.
+   */
+  public double renewWithinS() {
+    double beginners = beginnersS();
+    double most = cancelSpareS() - (beginners > 0 ? longestLeaseS() + beginners : 0);
+    return Math.max(Constants.LEAST_RENEW_S, most);
+  }
+
+  /**
+   * Seconds from the start of a process for which it may renew leases without knowing anything of
+   * cancellations. Whoever renewed them before was at most {@link #renewWithinS} behind, and it
+   * ended a lease ago at the most, since there would be none to renew. Where zones have deputies,
+   * which use all of the time that a cancellation leaves, there is nothing to give away.
+   */
+  public double beginnersS() {
+    double spare = cancelSpareS() - longestLeaseS();
+    double s = Math.min(spare * Constants.BEGINNERS_SHARE, spare - Constants.LEAST_RENEW_S);
+    return deputies().isEmpty() && s > Constants.LEAST_BEGINNERS_S ? s : 0;
+  }
+
+  private double longestLeaseS() {
+    return leaseS * (1 + Constants.DRIFT) + Constants.LEASE_MARGIN_S;
+  }
+
+  private double cancelSpareS() {
+    return cancelS * (1 - Constants.DRIFT) - longestLeaseS() - Constants.CANCEL_MARGIN_S;
+  }
+
   /** The other controllers by zone, or nobody where all are in one. */
   public Map<String, String> deputies() {
     Map<String, String> zones = new HashMap<>();
--- a/src/main/java/graderelay/state/Cache.java
+++ b/src/main/java/graderelay/state/Cache.java
@@ -10,9 +10,11 @@
 import graderelay.wire.StateCodec;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -65,6 +67,10 @@
   private final Listener listener;
   private final Map<String, Entry> jobs = new HashMap<>();
   private final Map<SliceKey, SliceEntry> loose = new HashMap<>();
+
+  /** Live jobs whose cancellation is recorded. */
+  private final Set<String> stopped = new HashSet<>();
+
   private final Map<String, End> ends =
       new LinkedHashMap<>(64, 0.75f, true) {
         private static final long serialVersionUID = 1L;
@@ -85,6 +91,9 @@
   /** Everything that had committed before this time has been seen. */
   private double sureAt = Double.NEGATIVE_INFINITY;
 
+  /** The same for the whole copy: while only its head was read, jobs are missing. */
+  private double knownUntil = Double.NEGATIVE_INFINITY;
+
   private JsonNode demand;
   private final Map<String, JsonNode> images = new HashMap<>();
   private JsonNode settings;
@@ -175,6 +184,16 @@
     return sureAt;
   }
 
+  /** Every job, slice and cancellation that had committed before this time is in the copy. */
+  public double knownUntil() {
+    return knownUntil;
+  }
+
+  /** Live jobs whose cancellation is recorded. */
+  public Set<String> stopped() {
+    return stopped;
+  }
+
   /** What the last owner kept of the demand, or null. */
   public JsonNode demand() {
     return demand;
@@ -288,6 +307,7 @@
             boolean first = !loaded;
             loaded = true;
             watched = true;
+            knownUntil = sureAt;
             if (first) {
               LOG.info("loaded {} jobs at revision {}", jobs.size(), revision);
             }
@@ -321,7 +341,7 @@
         r -> {
           if (r.done()) {
             apply(r.body());
-            sureAt = Math.max(sureAt, sentAt);
+            sure(sentAt);
             watch(gen);
           } else if (r.how() == StateClient.How.ABSENT) {
             loaded = false;
@@ -366,7 +386,7 @@
           catching = false;
           if (r.done()) {
             apply(r.body());
-            sureAt = Math.max(sureAt, sentAt);
+            sure(sentAt);
           } else if (r.how() == StateClient.How.ABSENT) {
             loaded = false;
             load();
@@ -378,6 +398,11 @@
         });
   }
 
+  private void sure(double sentAt) {
+    sureAt = Math.max(sureAt, sentAt);
+    knownUntil = loaded ? sureAt : knownUntil;
+  }
+
   private void apply(JsonNode body) {
     long upTo = body.path("ledger").asLong();
     for (JsonNode e : body.path("news")) {
@@ -453,6 +478,9 @@
     }
     e.mark = mark;
     e.stop = StateCodec.stopOf(value);
+    if (e.stop) {
+      stopped.add(id);
+    }
     listener.onJob(e);
   }
 
@@ -500,6 +528,7 @@
       return;
     }
     jobs.remove(id);
+    stopped.remove(id);
     e.slices.forEach((i, s) -> loose.put(new SliceKey(id, i), s));
     listener.onJobGone(id);
   }
--- /dev/null
+++ b/src/main/java/graderelay/state/Cancellations.java
@@ -0,0 +1,200 @@
+package graderelay.state;
+
+import graderelay.core.Order;
+import graderelay.core.Report;
+import graderelay.net.Loop;
+import graderelay.service.Constants;
+import graderelay.service.Settings;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+
+/**
+ * What this controller knows of the cancellations that users may have been told of, by any
+ * controller. Everything that renews a worker's lease asks here: an answer keeps a task alive for a
+ * lease, so it may be given only by who knows every cancellation whose time would be over by then,
+ * and it carries the kills of those.
+ *
+ * <p>One figure says up to when nothing is missing. The state service's answers move it, counted
+ * from when they were asked for, and so does a round of words from all other controllers that could
+ * have told a user. A message that a job was cancelled helps, but proves nothing: it may be lost.
+ */
+public final class Cancellations {
+  /**
+   * What a controller says of its knowledge.
+   *
+   * @param complete nothing is missing of what it or an earlier process of it has told users
+   * @param processS seconds since its process began, which has forgotten what was before
+   * @param knownS seconds since the time up to which it knows what anybody told, or less than 0
+   * @param jobs the cancelled jobs that may still run
+   */
+  public record Word(boolean complete, double processS, double knownS, List<String> jobs) {
+    /** Says nothing at all. */
+    public static final Word NONE = new Word(false, 0, -1, List.of());
+  }
+
+  private final Loop loop;
+  private final Cache cache;
+  private final List<Settings.Peer> peers;
+  private final double renewWithinS;
+  private final double beginnersS;
+  private final double startedAt;
+
+  /** Cancelled jobs that the copy of the records may not show yet, and when we heard of each. */
+  private final Map<String, Double> heard = new LinkedHashMap<>();
+
+  /** When we sent the question that each peer answered with a complete word, the last one. */
+  private final Map<String, Double> vouched = new HashMap<>();
+
+  private double knownByWord = Double.NEGATIVE_INFINITY;
+  private Predicate<String> mute = p -> false;
+  private java.util.function.Consumer<String> listener = id -> {};
+
+  public Cancellations(Loop loop, Cache cache, Settings s) {
+    this.loop = loop;
+    this.cache = cache;
+    this.peers = s.peers();
+    this.renewWithinS = s.renewWithinS();
+    this.beginnersS = s.beginnersS();
+    this.startedAt = loop.now();
+  }
+
+  /** Names the peers that can tell nobody anything which the records did not show us. */
+  public void mutePeers(Predicate<String> isMute) {
+    this.mute = isMute;
+  }
+
+  /** Hears of each job that a peer says was cancelled. */
+  public void listen(java.util.function.Consumer<String> l) {
+    this.listener = l;
+  }
+
+  /** Our own cancellation has committed; to be called before its user is told. */
+  public void committed(String job) {
+    learn(job);
+  }
+
+  private void learn(String job) {
+    if (!byRecord(job) && heard.put(job, loop.now()) == null) {
+      listener.accept(job);
+    }
+  }
+
+  private boolean byRecord(String job) {
+    Cache.Entry e = cache.job(job);
+    Cache.End end = cache.end(job);
+    return (e != null && e.stop) || (end != null && end.cancelled());
+  }
+
+  /** True if the job is known to be cancelled, by its record or by word. */
+  public boolean cancelled(String job) {
+    return byRecord(job) || heard.containsKey(job);
+  }
+
+  /** Up to when we know every cancellation that a user was told of. */
+  public double knownUntil() {
+    return Math.max(cache.knownUntil(), knownByWord);
+  }
+
+  /** True if we know all that earlier processes of this controller have told users. */
+  private boolean complete() {
+    return knownUntil() >= startedAt;
+  }
+
+  /**
+   * True if a lease may be renewed now. A process that has just begun and knows nothing yet may
+   * answer for a moment: whoever answered before it knew enough for that, see {@link
+   * Settings#beginnersS}.
+   */
+  public boolean mayRenew() {
+    double now = loop.now();
+    return now <= knownUntil() + renewWithinS || now <= startedAt + beginnersS;
+  }
+
+  /** True if what we know is getting old, so that the peers should be asked. */
+  public boolean ageing() {
+    return loop.now() > knownUntil() + Constants.ASK_CANCELLATIONS_S;
+  }
+
+  /** The kills that go with an answer to this report; anybody may order these, at any time. */
+  public List<Order> kills(Report r) {
+    List<Order> kills = new ArrayList<>();
+    for (Report.Entry e : r.tasks()) {
+      if (e.stage() != Report.Stage.EXITED
+          && cancelled(e.task().substring(0, Math.max(0, e.task().indexOf('/'))))) {
+        kills.add(new Order.Kill(e.task(), e.attempt(), 0));
+      }
+    }
+    return kills;
+  }
+
+  /** The same in front of what the owner orders, of which the stopped tasks' part is left out. */
+  public List<Order> withKills(Report r, List<Order> orders) {
+    List<Order> all = kills(r);
+    if (all.isEmpty()) {
+      return orders;
+    }
+    var killed = new java.util.HashSet<String>();
+    all.forEach(o -> killed.add(o.task() + "#" + o.attempt()));
+    for (Order o : orders) {
+      if (!killed.contains(o.task() + "#" + o.attempt())) {
+        all.add(o);
+      }
+    }
+    return all;
+  }
+
+  // ---------------------------------------------------------------- words
+
+  /** What we say of ourselves. */
+  public Word word() {
+    prune();
+    Collection<String> jobs = new TreeSet<>(cache.stopped());
+    jobs.addAll(heard.keySet());
+    if (jobs.size() > Constants.MOST_CANCELLATIONS) {
+      return Word.NONE;
+    }
+    double now = loop.now();
+    double known = knownUntil();
+    return new Word(
+        complete(),
+        now - startedAt,
+        known == Double.NEGATIVE_INFINITY ? -1 : now - known,
+        List.copyOf(jobs));
+  }
+
+  /** What the copy of the records shows by now need not be remembered. */
+  private void prune() {
+    heard.values().removeIf(at -> at < cache.knownUntil());
+  }
+
+  /** A peer's word, in answer to a question that we sent at {@code sentAt}. */
+  public void heard(String peer, double sentAt, Word w) {
+    adopt(sentAt, w);
+    // What an earlier process of that peer has told is known only if it ended before our figure.
+    double began = loop.now() - w.processS() * (1 - Constants.DRIFT);
+    if (w.complete() || (w.processS() > 0 && knownUntil() >= began)) {
+      vouched.merge(peer, sentAt, Math::max);
+    }
+    double all = complete() ? loop.now() : Double.NEGATIVE_INFINITY;
+    for (Settings.Peer p : peers) {
+      if (!mute.test(p.member())) {
+        all = Math.min(all, vouched.getOrDefault(p.member(), Double.NEGATIVE_INFINITY));
+      }
+    }
+    knownByWord = Math.max(knownByWord, all);
+  }
+
+  /** Somebody's word, whose knowledge is ours from now on. */
+  public void adopt(double sentAt, Word w) {
+    w.jobs().forEach(this::learn);
+    if (w.knownS() >= 0) {
+      knownByWord = Math.max(knownByWord, sentAt - w.knownS() * (1 + Constants.DRIFT));
+    }
+  }
+}
--- a/src/main/java/graderelay/state/Ownership.java
+++ b/src/main/java/graderelay/state/Ownership.java
@@ -77,6 +77,7 @@
   private double lastAway = Double.NEGATIVE_INFINITY;
 
   private final MeshClient mesh;
+  private final Cancellations cancellations;
 
   /** Tells this process from earlier ones of the same member. */
   private final String self;
@@ -104,6 +105,7 @@
       String address,
       double holdS,
       MeshClient mesh,
+      Cancellations cancellations,
       DoubleSupplier random,
       Listener listener) {
     this.loop = loop;
@@ -115,6 +117,8 @@
     this.random = random;
     this.self = Long.toHexString(Double.doubleToRawLongBits(random.getAsDouble()));
     this.mesh = mesh;
+    this.cancellations = cancellations;
+    cancellations.mutePeers(p -> loop.now() < barHolds(p));
     this.holdS = holdS;
     // An earlier process of this member may have made a promise just before it ended.
     this.keepBefore = loop.now() + Constants.KEEP_S * (1 + Constants.DRIFT);
@@ -328,7 +332,7 @@
 
   /** Asks every peer for its promise, as long as renewals fail. */
   private void askPeers() {
-    if (!owner || closed || Double.isNaN(failingSince)) {
+    if (!owner || closed || (Double.isNaN(failingSince) && !cancellations.ageing())) {
       asking = false;
       return;
     }
@@ -342,6 +346,9 @@
           mesh.timeoutS(),
           n -> {
             heard(n);
+            if (n != null) {
+              cancellations.heard(p.member(), sentAt, MeshCodec.word(n));
+            }
             if (n == null || !owner || term != of) {
               return;
             }
@@ -510,6 +517,9 @@
           mesh.timeoutS(),
           n -> {
             heard(n);
+            if (n != null) {
+              cancellations.heard(p.member(), sentAt, MeshCodec.word(n));
+            }
             if (n != null && n.path("granted").asBoolean()) {
               keepPromised.put(
                   p.member(),
@@ -764,5 +774,8 @@
     if (owner && !entitled()) {
       lose("the hold could not be renewed in time");
     }
+    if (owner && !asking && cancellations.ageing()) {
+      askPeers();
+    }
   }
 }
--- a/src/main/java/graderelay/wire/MeshCodec.java
+++ b/src/main/java/graderelay/wire/MeshCodec.java
@@ -3,7 +3,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import graderelay.net.Exchange.Answer;
+import graderelay.state.Cancellations;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 
 /** What passes between controllers. */
 public final class MeshCodec {
@@ -55,6 +58,28 @@
     return Json.object().put("granted", granted).put("reaches", reaches);
   }
 
+  /** Adds what the sender knows of cancellations. */
+  public static ObjectNode word(ObjectNode answer, Cancellations.Word w) {
+    ObjectNode n = answer.putObject("cancellations");
+    n.put("complete", w.complete()).put("process", w.processS()).put("known", w.knownS());
+    w.jobs().forEach(n.putArray("jobs")::add);
+    return answer;
+  }
+
+  /** What the answer says of cancellations; nothing if its sender says nothing of them. */
+  public static Cancellations.Word word(JsonNode answer) {
+    JsonNode n = answer.path("cancellations");
+    List<String> jobs = new ArrayList<>();
+    n.path("jobs").forEach(j -> jobs.add(j.asText()));
+    return n.isObject()
+        ? new Cancellations.Word(
+            n.path("complete").asBoolean(),
+            n.path("process").asDouble(),
+            n.path("known").asDouble(-1),
+            jobs)
+        : Cancellations.Word.NONE;
+  }
+
   /** Leaves the fleet to a peer: the sender has stopped, and this hold can be ended. */
   public static ObjectNode handover(String member, long term, long hold) {
     return Json.object()
--- a/src/main/java/graderelay/worker/Deputy.java
+++ b/src/main/java/graderelay/worker/Deputy.java
@@ -8,6 +8,7 @@
 import graderelay.service.Constants;
 import graderelay.service.Settings;
 import graderelay.state.Cache;
+import graderelay.state.Cancellations;
 import graderelay.state.Ownership;
 import graderelay.state.StateClient;
 import graderelay.wire.MeshCodec;
@@ -25,6 +26,7 @@
   private final Ownership ownership;
   private final Cache cache;
   private final StateClient state;
+  private final Cancellations cancellations;
   private final String member;
   private final String zone;
   private final double lengthS;
@@ -52,6 +54,7 @@
       Ownership ownership,
       Cache cache,
       StateClient state,
+      Cancellations cancellations,
       Settings s,
       long nonce) {
     this.loop = loop;
@@ -59,6 +62,7 @@
     this.ownership = ownership;
     this.cache = cache;
     this.state = state;
+    this.cancellations = cancellations;
     this.member = s.member();
     this.zone = s.zone();
     this.lengthS = s.grantS() * (1 - Constants.DRIFT);
@@ -82,7 +86,10 @@
     }
   }
 
-  /** True if this worker's report may be answered under {@link #term} and without orders. */
+  /**
+   * True if this worker's report may be answered under {@link #term}, with no order but the kills
+   * of cancelled tasks.
+   */
   public boolean answers(Report r) {
     double now = loop.now();
     boolean may =
@@ -90,7 +97,8 @@
             && now > lastContact + Constants.DEPUTY_ALONE_S * (1 + Constants.DRIFT)
             && state.failingFor() > Constants.KEEP_AFTER_S
             && zone.equals(r.zone())
-            && r.term() <= term;
+            && r.term() <= term
+            && cancellations.mayRenew();
     if (may) {
       lastAlone = now;
     }
@@ -137,6 +145,9 @@
         MeshCodec.deputy(member, self, n, of, echo, sentAt - lastAlone),
         mesh.timeoutS(),
         r -> {
+          if (r != null) {
+            cancellations.adopt(sentAt, MeshCodec.word(r));
+          }
           if (r != null && r.path("granted").asBoolean() && n > voidUpTo) {
             granted(r, sentAt);
           }
--- a/src/main/java/graderelay/worker/WorkerApi.java
+++ b/src/main/java/graderelay/worker/WorkerApi.java
@@ -8,6 +8,7 @@
 import graderelay.net.Loop;
 import graderelay.service.Constants;
 import graderelay.state.Cache;
+import graderelay.state.Cancellations;
 import graderelay.state.Ownership;
 import graderelay.wire.Json;
 import graderelay.wire.MeshCodec;
@@ -32,6 +33,7 @@
   private final Cache cache;
   private final MeshClient mesh;
   private final Deputy deputy;
+  private final Cancellations cancellations;
   private final String member;
   private final BiFunction<Report, String, List<Order>> fleet;
   private final Map<String, Pointed> pointed = new LinkedHashMap<>();
@@ -42,6 +44,7 @@
       Cache cache,
       MeshClient mesh,
       Deputy deputy,
+      Cancellations cancellations,
       String member,
       BiFunction<Report, String, List<Order>> fleet) {
     this.loop = loop;
@@ -49,6 +52,7 @@
     this.cache = cache;
     this.mesh = mesh;
     this.deputy = deputy;
+    this.cancellations = cancellations;
     this.member = member;
     this.fleet = fleet;
   }
@@ -63,14 +67,13 @@
       answer(r, "", e.to());
       return;
     }
-    if (ownership.keeping() && r.term() > 0) {
-      // Under the worker's own term and without an order: its lease goes on, and nothing else.
-      e.to().accept(Answer.json(200, Json.write(WorkerCodec.response(r.term(), List.of(), 0))));
+    if (ownership.keeping() && r.term() > 0 && cancellations.mayRenew()) {
+      // Under the worker's own term: its lease goes on, and what is cancelled ends.
+      renew(e.to(), r.term(), cancellations.kills(r));
       return;
     }
     if (deputy.answers(r)) {
-      e.to()
-          .accept(Answer.json(200, Json.write(WorkerCodec.response(deputy.term(), List.of(), 0))));
+      renew(e.to(), deputy.term(), cancellations.kills(r));
       return;
     }
     ownership.wantKeep();
@@ -128,15 +131,19 @@
   }
 
   private void answer(Report r, String via, Consumer<Answer> to) {
-    List<Order> orders = ownership.entitled() ? fleet.apply(r, via) : null;
+    boolean may = ownership.entitled() && cancellations.mayRenew();
+    List<Order> orders = may ? fleet.apply(r, via) : null;
     if (orders == null) {
       elsewhere(to, null);
       return;
     }
-    to.accept(
-        Answer.json(
-            200,
-            Json.write(WorkerCodec.response(ownership.term(), orders, Constants.MOST_ORDERS))));
+    renew(to, ownership.term(), cancellations.withKills(r, orders));
+  }
+
+  /** The answer that renews a lease: whoever gives it has asked {@link Cancellations} before. */
+  private static void renew(Consumer<Answer> to, long term, List<Order> orders) {
+    byte[] body = Json.write(WorkerCodec.response(term, orders, Constants.MOST_ORDERS));
+    to.accept(Answer.json(200, body));
   }
 
   private static void elsewhere(Consumer<Answer> to, String member) {
