A story for each meeting of two troubles, and what the simulated world lacked for them

Machines that hang or open no connection, copies of reports kept for the next owner, slow links, a slow state service, jobs bound to a zone, users who ask at all nodes within milliseconds and submit again.

--- a/src/test/java/graderelay/MeetingsTest.java
+++ b/src/test/java/graderelay/MeetingsTest.java
@@ -4,9 +4,13 @@
 import static graderelay.StoryWords.runner;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import graderelay.service.Constants;
 import graderelay.sim.Rules;
+import graderelay.sim.SimWorker;
 import graderelay.sim.SimWorld;
+import graderelay.wire.Json;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -225,4 +229,588 @@
     assertThat(w.workers.values()).allMatch(x -> x.running().isEmpty());
     fine(w);
   }
+
+  // ---------------------------------------------------------------- what users are told
+
+  /** Arrays that come over some seconds, of which every third is cancelled at once. */
+  private static List<Rules.Known> arrays(SimWorld w, int n, double everyS, double runS) {
+    List<Rules.Known> all = new ArrayList<>();
+    for (int i = 0; i < n; i++) {
+      Rules.Known j = w.job(String.format("j-0004%02d", i), 1 + i % 3, 1, runS, true);
+      all.add(j);
+      int node = i % w.size;
+      w.loop.after(i * everyS, () -> w.submit(node, j));
+      if (i % 3 == 2) {
+        w.loop.after(i * everyS + 0.05 + i % 4 * 0.9, () -> w.cancel(other(w, node), j));
+      }
+    }
+    return all;
+  }
+
+  /** Every job has ended, as its user asked, and every node says so. */
+  private static void allOver(SimWorld w, List<Rules.Known> jobs) {
+    for (Rules.Known j : jobs) {
+      for (int i = 0; i < w.size; i++) {
+        String stage = w.stage(i, j.id);
+        assertThat(stage).as(j.id).isIn(j.cancelAsked ? "cancelled" : "done", "done");
+      }
+    }
+    fine(w);
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {"nothing", "refused", "lostAnswers", "slowState", "ownerEnds", "handover", "late"})
+  void noNodeAnswersAnythingOlderHoweverSoonItIsAsked(String trouble) {
+    SimWorld w = world(311, 3);
+    w.lookClosely();
+    List<Rules.Known> jobs = arrays(w, 24, 0.7, 2);
+    w.loop.run(6);
+    int owner = w.owner();
+    switch (trouble) {
+      case "refused" -> refuse(w, other(w, owner), true);
+      case "lostAnswers" -> w.state.loseAnswer = t -> w.random.nextInt(3) == 0;
+      case "slowState" -> w.state.slowS = 0.7;
+      case "ownerEnds" -> {
+        w.crash(owner);
+        w.loop.after(0.3, () -> w.start(owner));
+      }
+      case "handover" -> refuse(w, owner, true);
+      case "late" -> {
+        w.state.delayS = 4;
+        w.state.delay = t -> w.random.nextInt(4) == 0;
+      }
+      default -> {}
+    }
+    w.loop.run(12);
+    for (int i = 0; i < 3; i++) {
+      refuse(w, i, false);
+    }
+    w.state.loseAnswer = t -> false;
+    w.state.delay = t -> false;
+    w.state.slowS = 0;
+    w.loop.run(60);
+    allOver(w, jobs);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"0, false", "0.002, false", "0.01, false", "0.5, false", "0, true"})
+  void aCancellationThatMeetsTheEndOfTheLastTaskIsAnsweredAlikeByAll(
+      double after, boolean ownerEnds) {
+    SimWorld w = world(312, 3);
+    w.lookClosely();
+    List<Rules.Known> jobs = new ArrayList<>();
+    for (int i = 0; i < 12; i++) {
+      Rules.Known j = w.job(String.format("j-0004%02d", i), 1 + i % 2, 1, 2 + i % 5, true);
+      jobs.add(j);
+      w.submit(i % 3, j);
+    }
+    w.rules.onComplete =
+        j ->
+            w.loop.after(
+                after,
+                () -> {
+                  w.cancel(w.random.nextInt(3), j);
+                  w.resubmit(w.random.nextInt(3), j);
+                  w.poll(w.random.nextInt(3), j);
+                  if (ownerEnds && w.owner() >= 0) {
+                    int owner = w.owner();
+                    w.crash(owner);
+                    w.loop.after(0.2, () -> w.start(owner));
+                  }
+                });
+    w.loop.run(90);
+    allOver(w, jobs);
+  }
+
+  @Test
+  void aTransactionWhoseAnswerIsLostCountsForItsSenderAsForAllWhoReadIt() {
+    SimWorld w = world(313, 3);
+    w.lookClosely();
+    w.state.loseAnswer = t -> w.random.nextInt(2) == 0;
+    List<Rules.Known> jobs = arrays(w, 20, 1, 3);
+    w.loop.run(40);
+    w.state.loseAnswer = t -> false;
+    w.loop.run(60);
+    allOver(w, jobs);
+  }
+
+  @Test
+  void whatCannotRunOrLacksAFieldIsRefusedByEveryNodeInEveryState() {
+    SimWorld w = world(314, 3);
+    running(w, 1);
+    byte[] tooBig = Json.write(w.body(w.job("j-000491", 1, 1, 2, true)).put("cpus", 512.0));
+    ObjectNode lacks = w.body(w.job("j-000492", 1, 1, 2, true));
+    lacks.remove("mem_gb");
+    Runnable[] states = {
+      () -> {},
+      () -> refuse(w, w.owner(), true),
+      () -> w.state.outage(true),
+      () -> {
+        w.crashAll();
+        w.startAll();
+      },
+      () -> w.cloud.noTypes = true
+    };
+    for (Runnable state : states) {
+      state.run();
+      for (int k = 0; k < 4; k++) {
+        w.loop.run(0.3);
+        for (int i = 0; i < 3; i++) {
+          assertThat(w.answer(i, "POST", "/v1/jobs", tooBig).path("http").asInt()).isIn(422, 503);
+          assertThat(w.answer(i, "POST", "/v1/jobs", Json.write(lacks)).path("http").asInt())
+              .isIn(400, 503);
+        }
+      }
+    }
+    w.state.outage(false);
+    w.cloud.noTypes = false;
+    for (int i = 0; i < 3; i++) {
+      refuse(w, i, false);
+    }
+    w.loop.run(20);
+    assertThat(w.answer(1, "GET", "/v1/jobs/j-000491", null).path("http").asInt()).isEqualTo(404);
+    fine(w);
+  }
+
+  // ---------------------------------------------------------------- changes of owner
+
+  @ParameterizedTest
+  @CsvSource({
+    "crash, 0",
+    "crash, 2",
+    "crash, 4",
+    "handover, 0.5",
+    "handover, 1",
+    "handover, 1.5",
+    "isolate, 0.5",
+    "isolate, 4",
+    "isolate, 12",
+    "blink, 0",
+    "blink, 0.2"
+  })
+  void jobsCancelledWhileTheFleetChangesHandsAreGoneInTime(String how, double cancelAfter) {
+    SimWorld w = world(321, 3);
+    w.lookClosely();
+    Rules.Known[] jobs = running(w, 3);
+    int owner = w.owner();
+    switch (how) {
+      case "crash" -> w.crash(owner);
+      case "handover" -> refuse(w, owner, true);
+      case "isolate" -> w.isolate(owner, true);
+      default -> {
+        w.crash(owner);
+        w.loop.after(0.1, () -> w.start(owner));
+      }
+    }
+    w.loop.run(cancelAfter);
+    for (int i = 0; i < 3; i++) {
+      w.cancel((owner + 1 + i) % 3, jobs[i]);
+    }
+    w.loop.run(8);
+    if (how.equals("isolate")) {
+      w.isolate(owner, false);
+    }
+    w.loop.run(SimWorld.CANCEL_S);
+    assertThat(w.workers.values()).allMatch(x -> x.running().isEmpty());
+    fine(w);
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void tenChangesOfOwnerInTwoMinutesAlsoInAnOutageCostNoJob(boolean blinks) {
+    SimWorld w = world(322, 3);
+    List<Rules.Known> jobs = arrays(w, 24, 4, 9);
+    for (int i = 0; i < 10; i++) {
+      w.loop.run(10);
+      if (i % 4 == 2) {
+        w.state.outage(true);
+        w.loop.after(8, () -> w.state.outage(false));
+      }
+      int owner = w.owner();
+      if (owner >= 0) {
+        w.crash(owner);
+        w.loop.after(blinks ? 0.2 : 5, () -> w.start(owner));
+      }
+    }
+    w.loop.run(90);
+    allOver(w, jobs);
+  }
+
+  @Test
+  void theFleetIsHandedOverAndBackAndAllEndAndOneReturnsAtOnce() {
+    SimWorld w = oneZone(323, 3);
+    Rules.Known[] jobs = running(w, 2);
+    for (int i = 0; i < 3; i++) {
+      int owner = w.owner();
+      refuse(w, owner, true);
+      w.loop.run(2.5);
+      assertThat(w.owner()).isNotEqualTo(owner);
+      refuse(w, owner, false);
+      w.loop.run(2);
+    }
+    w.cancel(0, jobs[0]);
+    w.loop.run(0.1);
+    w.crashAll();
+    w.loop.run(0.4);
+    w.start(1);
+    w.loop.run(SimWorld.CANCEL_S);
+    w.start(0);
+    w.start(2);
+    w.loop.run(10);
+    assertThat(w.workers.values()).noneMatch(x -> x.running().contains(jobs[0].id + "/0"));
+    assertThat(w.stage(1, jobs[1].id)).isEqualTo("running");
+    assertThat(w.rules.trace()).noneMatch(x -> x.contains("lease over"));
+    fine(w);
+  }
+
+  @Test
+  void allControllersAreAwayForLongerThanALeaseAndAJobWasCancelledBefore() {
+    SimWorld w = world(324, 3);
+    Rules.Known[] jobs = running(w, 2);
+    w.cancel(0, jobs[0]);
+    w.loop.run(0.05);
+    w.crashAll();
+    w.loop.run(SimWorld.LEASE_S + 5);
+    w.startAll();
+    w.loop.run(30);
+    assertThat(w.stage(2, jobs[0].id)).isEqualTo("cancelled");
+    assertThat(runner(w, jobs[1].id + "/0")).isNotNull(); // It began anew.
+    fine(w);
+  }
+
+  @Test
+  void tasksOfOneJobThatEndFarApartAcrossAChangeOfOwnerEndIt() {
+    SimWorld w = world(325, 3);
+    w.cloud.capacity = 1; // One task after the other.
+    Rules.Known j = w.job("j-000480", 3, 4, 9, false);
+    w.submit(0, j);
+    for (int i = 0; i < 3; i++) {
+      w.loop.run(12);
+      int owner = w.owner();
+      w.crash(owner);
+      w.loop.after(0.5 + i * 3, () -> w.start(owner));
+    }
+    w.loop.run(40);
+    assertThat(w.rules.starts).isEqualTo(3);
+    assertThat(w.stage(0, j.id)).isEqualTo("done");
+    fine(w);
+  }
+
+  // ---------------------------------------------------------------- machines
+
+  @ParameterizedTest
+  @CsvSource({"2, cancel", "6, cancel", "11, cancel", "20, cancel", "6, owner", "20, owner"})
+  void aMachineThatHangsAndGoesOnKeepsNoCancelledTask(double hangS, String and) {
+    SimWorld w = world(331, 3);
+    Rules.Known[] jobs = running(w, 2);
+    int owner = w.owner();
+    w.workers.values().forEach(x -> x.hang(hangS));
+    w.cancel(other(w, owner), jobs[0]);
+    w.loop.run(0.5);
+    if (and.equals("owner")) {
+      w.crash(owner);
+    }
+    w.loop.run(hangS + 15);
+    assertThat(w.workers.values()).noneMatch(x -> x.running().contains(jobs[0].id + "/0"));
+    w.loop.run(SimWorld.CANCEL_S);
+    fine(w);
+  }
+
+  @Test
+  void anOrderThatIsHeldUpForSecondsStartsNothingOfACancelledJob() {
+    SimWorld w = world(332, 3);
+    running(w, 1);
+    w.net.alwaysPooled = true;
+    String machine = w.workers.keySet().iterator().next();
+    int owner = w.owner();
+    w.net.cut("c" + owner, machine);
+    Rules.Known j = w.job("j-000481", 3, 1, 30, true);
+    w.submit(other(w, owner), j);
+    w.loop.run(1.5);
+    w.cancel(other(w, owner), j);
+    w.loop.run(6);
+    w.net.heal("c" + owner, machine);
+    w.loop.run(SimWorld.CANCEL_S);
+    assertThat(w.workers.values()).noneMatch(x -> x.running().contains(j.id + "/0"));
+    fine(w);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"cut, 6", "cut, 30", "hang, 6", "hang, 30", "deaf, 30", "mute, 30"})
+  void aTeamAtItsLimitStaysWithinItWhileMachinesCannotBeAskedAndTheOwnerChanges(
+      String how, double length) {
+    SimWorld w = new SimWorld(333, SimWorld.Shape.of(3).fleet(20, List.of("a", "b")));
+    w.cloud.capacity = 20;
+    w.loop.run(3);
+    List<Rules.Known> jobs = new ArrayList<>();
+    for (int i = 0; i < 6; i++) {
+      Rules.Known j = w.job(String.format("j-0004%02d", i), 4, 3, 300, false);
+      jobs.add(j);
+      w.submit(i % 3, j);
+    }
+    w.loop.run(25);
+    assertThat(w.rules.starts).isEqualTo(20); // 60 of 60 CPUs; four tasks wait for the limit.
+    List<SimWorker> some = new ArrayList<>(w.workers.values()).subList(0, 5);
+    for (SimWorker x : some) {
+      switch (how) {
+        case "cut" -> w.cutOff(x.name);
+        case "hang" -> x.hang(length);
+        case "deaf" -> w.net.deaf(x.name, true);
+        default -> w.net.mute(x.name, true);
+      }
+    }
+    int owner = w.owner();
+    w.cancel(other(w, owner), jobs.get(0));
+    w.cancel(other(w, owner), jobs.get(1));
+    w.loop.run(0.3);
+    w.crash(owner);
+    w.cancel(other(w, owner), jobs.get(2));
+    w.loop.run(length);
+    for (SimWorker x : some) {
+      w.net.deaf(x.name, false);
+      w.net.mute(x.name, false);
+      for (int i = 0; i < 3; i++) {
+        w.net.heal("c" + i, x.name);
+      }
+    }
+    w.start(owner);
+    w.loop.run(SimWorld.CANCEL_S + 20);
+    for (int i = 3; i < 6; i++) {
+      assertThat(w.stage(0, jobs.get(i).id)).isEqualTo("running");
+    }
+    fine(w);
+  }
+
+  @Test
+  void workersThatCanOpenNoConnectionLoseTheirLeaseAndTheirTasksRunOnce() {
+    SimWorld w = world(334, 3);
+    Rules.Known[] jobs = running(w, 3);
+    w.workers.keySet().forEach(m -> w.net.mute(m, true));
+    w.cancel(0, jobs[0]);
+    w.loop.run(SimWorld.LEASE_S + 12);
+    w.workers.keySet().forEach(m -> w.net.mute(m, false));
+    w.loop.run(40);
+    assertThat(w.stage(1, jobs[0].id)).isEqualTo("cancelled");
+    assertThat(w.stage(1, jobs[1].id)).isEqualTo("running");
+    fine(w);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"cut, 8", "cut, 25", "deaf, 8", "deaf, 25"})
+  void theOwnerEndsWhileMachinesWithLongTasksDoNotHearTheNext(String how, double length) {
+    SimWorld w = world(335, 3);
+    Rules.Known[] jobs = running(w, 2);
+    Rules.Known longOne = w.job("j-000482", 3, 1, 70, false);
+    w.submit(0, longOne);
+    w.loop.run(10);
+    List<String> names = new ArrayList<>(w.workers.keySet());
+    for (String m : names) {
+      if (how.equals("cut")) {
+        w.cutOff(m);
+      } else {
+        w.net.deaf(m, true);
+      }
+    }
+    w.crash(w.owner());
+    w.cancel(w.isUp(0) ? 0 : 1, jobs[0]);
+    w.loop.run(length);
+    for (String m : names) {
+      w.net.deaf(m, false);
+      for (int i = 0; i < 3; i++) {
+        w.net.heal("c" + i, m);
+      }
+    }
+    w.loop.run(140);
+    assertThat(w.stage(w.owner(), longOne.id)).isEqualTo("done");
+    fine(w);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"0.2, 1", "0.2, 4", "3, 1"})
+  void newMachinesGetWorkAtOnceWhileWritesLagAndTheOwnerEnds(double writeS, double endsAfter) {
+    SimWorld w = world(336, 3);
+    w.cloud.bootFactor = 0.15;
+    w.state.delayS = writeS;
+    w.state.delay = t -> t.toString().contains("g/slice/");
+    List<Rules.Known> jobs = arrays(w, 8, 0.1, 6);
+    w.loop.run(1 + endsAfter);
+    int owner = w.owner();
+    w.crash(owner);
+    w.loop.run(3);
+    w.start(owner);
+    w.loop.run(60);
+    w.state.delay = t -> false;
+    w.loop.run(40);
+    allOver(w, jobs);
+  }
+
+  @Test
+  void jobsBoundToOneZoneRunAgainAfterItsMachinesWereLost() {
+    SimWorld w = world(337, 3);
+    List<Rules.Known> jobs = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      Rules.Known j = w.job(String.format("j-0004%02d", i), 2, 1, i % 2 == 0 ? 0 : 120, false);
+      j.zone = i < 2 ? "a" : "b";
+      jobs.add(j);
+      w.submit(i % 3, j);
+    }
+    w.loop.run(20);
+    assertThat(w.rules.starts).isEqualTo(8);
+    for (SimWorker x : new ArrayList<>(w.workers.values())) {
+      if (x.zone.equals("a")) {
+        w.cloud.take(x.name);
+      }
+    }
+    w.loop.run(60);
+    for (int i = 0; i < 2; i++) {
+      assertThat(runner(w, jobs.get(i).id + "/1")).isNotNull();
+    }
+    fine(w);
+  }
+
+  @Test
+  void withMoreWorkThanRoomOverSlowLinksTheUrgentGoesFirstAndAllIsServed() {
+    SimWorld w = world(338, 3);
+    w.net.slow = 50; // An eighth of a second each way, a quarter at most.
+    w.cloud.capacity = 3;
+    List<Rules.Known> jobs = new ArrayList<>();
+    for (int i = 0; i < 10; i++) {
+      Rules.Known j = w.job(String.format("j-0004%02d", i), 4, 1, 8, true);
+      j.guest = i % 2 == 0; // Of the lowest priority.
+      jobs.add(j);
+      w.submit(i % 3, j);
+    }
+    w.loop.run(30);
+    Rules.Known service = w.job("j-000483", 2, 2, 0, true);
+    w.submit(0, service);
+    w.loop.run(25);
+    assertThat(service.firstStart).isNotNaN();
+    w.loop.run(120);
+    for (Rules.Known j : jobs) {
+      assertThat(w.stage(1, j.id)).isEqualTo("done");
+    }
+    fine(w);
+  }
+
+  // ---------------------------------------------------------------- what comes late
+
+  @ParameterizedTest
+  @CsvSource({"crash, 3", "crash, 8", "handover, 2", "crash, 0.3"})
+  void reportsKeptForTheNextOwnerProveAndRenewNothing(String how, double meanwhile) {
+    SimWorld w = world(341, 3);
+    Rules.Known[] jobs = running(w, 2);
+    w.net.keepReports();
+    w.loop.run(5);
+    w.cancel(0, jobs[0]);
+    String gone = runner(w, jobs[1].id + "/0");
+    w.loop.run(3);
+    w.cloud.take(gone);
+    int owner = w.owner();
+    if (how.equals("crash")) {
+      w.crash(owner);
+    } else {
+      refuse(w, owner, true);
+    }
+    double until = w.loop.now() + 20;
+    while ((w.owner() < 0 || w.owner() == owner) && w.loop.now() < until) {
+      w.loop.run(0.01);
+    }
+    w.net.deliverKept("c0:80", "c1:80", "c2:80");
+    w.loop.run(meanwhile);
+    refuse(w, owner, false);
+    w.loop.run(40);
+    assertThat(w.stage(w.owner(), jobs[0].id)).isEqualTo("cancelled");
+    assertThat(runner(w, jobs[1].id + "/0")).isNotEqualTo(gone);
+    fine(w);
+  }
+
+  @Test
+  void aReportThatIsHeldUntilANewOwnerHasActedProvesNothing() {
+    SimWorld w = world(342, 3);
+    Rules.Known[] jobs = running(w, 2);
+    Rules.Known array = w.job("j-000484", 3, 1, 25, false);
+    w.submit(0, array);
+    w.loop.run(8);
+    w.net.alwaysPooled = true;
+    int owner = w.owner();
+    List<String> machines = new ArrayList<>(w.workers.keySet());
+    for (String m : machines) {
+      w.net.cut("c" + other(w, owner), m);
+      w.net.cut("c" + (owner + 2) % 3, m);
+    }
+    w.crash(owner);
+    w.loop.run(9);
+    w.cancel(other(w, owner), jobs[0]);
+    w.loop.run(1);
+    for (String m : machines) {
+      w.net.heal("c" + other(w, owner), m);
+      w.net.heal("c" + (owner + 2) % 3, m);
+    }
+    w.loop.run(80);
+    assertThat(w.stage(other(w, owner), array.id)).isEqualTo("done");
+    fine(w);
+  }
+
+  @Test
+  void copiesFromAnEarlierSessionOrAttemptProveNothing() {
+    SimWorld w = world(343, 3);
+    running(w, 2);
+    Rules.Known array = w.job("j-000485", 3, 2, 20, false);
+    w.net.copies = 0.7;
+    w.net.copyDelayS = 2.5 * SimWorld.LEASE_S;
+    w.submit(0, array);
+    w.loop.run(10);
+    List<String> machines = new ArrayList<>(w.workers.keySet());
+    machines.forEach(w::cutOff);
+    w.loop.run(SimWorld.LEASE_S + 4); // Their sessions end, and so do their attempts.
+    for (String m : machines) {
+      for (int i = 0; i < 3; i++) {
+        w.net.heal("c" + i, m);
+      }
+    }
+    w.loop.run(120);
+    assertThat(w.stage(1, array.id)).isEqualTo("done");
+    fine(w);
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {344, 345, 346, 347, 348, 349})
+  void transactionsCarriedOutLateAfterNewerOnesOfTheSameOwnerBreakNothing(long seed) {
+    SimWorld w = world(seed, 3);
+    w.lookClosely();
+    List<Rules.Known> jobs = arrays(w, 24, 1, 4);
+    w.state.delay =
+        t -> {
+          w.state.delayS = 2 + w.random.nextDouble() * 10;
+          return w.random.nextInt(4) == 0;
+        };
+    w.loop.run(40);
+    w.state.delay = t -> false;
+    w.loop.run(80);
+    allOver(w, jobs);
+  }
+
+  // ---------------------------------------------------------------- swarms
+
+  @Test
+  void aSwarmOfSingleTaskJobsWithAQuarterCancelledIsAnsweredAndServed() {
+    SimWorld w = world(351, 3);
+    w.cloud.capacity = 8;
+    List<Rules.Known> jobs = new ArrayList<>();
+    for (int i = 0; i < 480; i++) {
+      Rules.Known j = w.job(String.format("j-%06d", 5000 + i), 1, 1, 4, true);
+      jobs.add(j);
+      int node = i % 3;
+      w.loop.after(i * 0.25, () -> w.submit(node, j));
+      if (i % 4 == 3) {
+        w.loop.after(i * 0.25 + 0.3 + i % 16, () -> w.cancel(other(w, node), j));
+      }
+    }
+    w.loop.run(200);
+    for (Rules.Known j : jobs) {
+      assertThat(j.accepted).isTrue();
+    }
+    allOver(w, jobs);
+  }
 }
--- a/src/test/java/graderelay/sim/Rules.java
+++ b/src/test/java/graderelay/sim/Rules.java
@@ -195,7 +195,8 @@
     if (stage.equals("cancelled") && !j.cancelAsked) {
       breaks("went_back " + j.id + ": cancelled by nobody");
     }
-    boolean isNew = submission ? !accepted : !stage.equals(knew);
+    boolean over = stage.equals("done") || stage.equals("cancelled");
+    boolean isNew = over ? !j.lastStage.equals(stage) : submission && !j.accepted;
     if (stage.equals("done") || stage.equals("cancelled")) {
       j.lastStage = stage;
     }
--- a/src/test/java/graderelay/sim/SimNet.java
+++ b/src/test/java/graderelay/sim/SimNet.java
@@ -46,6 +46,9 @@
 
   public double copyDelayS;
 
+  /** Times the usual time that a message takes. */
+  public double slow = 1;
+
   /** Chance that an answer is lost although the request was carried out. */
   public double loseAnswers;
 
@@ -161,7 +164,7 @@
   }
 
   private double delay() {
-    return 0.0005 + random.nextDouble() * 0.004;
+    return (0.0005 + random.nextDouble() * 0.004) * slow;
   }
 
   /** Passes a message now, or when the cut between the two hosts heals. */
--- a/src/test/java/graderelay/sim/SimState.java
+++ b/src/test/java/graderelay/sim/SimState.java
@@ -53,6 +53,9 @@
 
   public double delayS = 5;
 
+  /** Seconds that every answer takes longer than usual. */
+  public double slowS;
+
   /** Lists under this prefix are refused for now, or null. */
   public String refusedList;
 
@@ -100,6 +103,8 @@
         watch(e, refused); // Its open watches wait, as in an outage.
       } else if (refused[0]) {
         e.to().accept(Answer.json(503, Json.error("not now")));
+      } else if (slowS > 0) {
+        loop.after(slowS, () -> handle(e));
       } else {
         handle(e);
       }
