--- a/src/test/java/graderelay/MeetingsTest.java
+++ b/src/test/java/graderelay/MeetingsTest.java
@@ -10,6 +10,7 @@
 import graderelay.sim.SimWorker;
 import graderelay.sim.SimWorld;
 import graderelay.wire.Json;
+import graderelay.wire.StateCodec;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -211,6 +212,127 @@
     fine(w);
   }
 
+  @Test
+  void leasesKeptWithoutAnOwnerEndTheTasksOfACancelledJob() {
+    SimWorld w = world(308, 3);
+    Rules.Known[] jobs = running(w, 2);
+    int owner = w.owner();
+    refuse(w, owner, true);
+    w.loop.run(0.5);
+    w.cancel(other(w, owner), jobs[0]);
+    while (w.owner() == owner) {
+      w.loop.run(0.001);
+    }
+    w.state.outage(true); // Handed over, and nobody can take it.
+    w.loop.run(10);
+    assertThat(w.owner()).isNegative();
+    assertThat(w.workers.values()).noneMatch(x -> x.running().contains(jobs[0].id + "/0"));
+    w.loop.run(2 * SimWorld.CANCEL_S);
+    assertThat(runner(w, jobs[1].id + "/0")).isNotNull();
+    assertThat(w.rules.trace()).noneMatch(x -> x.contains("lease over"));
+    fine(w);
+  }
+
+  @Test
+  void aBarThatIsPutUpWhileAStopIsUnderWayMakesItFail() {
+    SimWorld w = oneZone(309, 3);
+    Rules.Known[] jobs = running(w, 1);
+    int owner = w.owner();
+    int barred = other(w, owner);
+    w.net.cut("c" + owner, "c" + barred);
+    w.net.cut("c" + barred, "c" + (owner + 2) % 3);
+    w.loop.run(0.5);
+    w.state.delayS = 7;
+    w.state.delay = t -> t.toString().contains("\"stop\":true");
+    w.cancel(barred, jobs[0]);
+    w.loop.run(Constants.BAR_AFTER_S + 2);
+    assertThat(w.state.value(StateCodec.barKey("m-" + barred))).isNotNull();
+    refuse(w, owner, true); // It has seen the bar stand, and no stop.
+    w.loop.run(4);
+    assertThat(w.state.value(StateCodec.jobKey(jobs[0].id)).path("stop").asBoolean()).isFalse();
+    fine(w);
+  }
+
+  @Test
+  void whatAGatewayHasJustCommittedIsInItsWordAlsoIfItHasNotReadItYet() {
+    SimWorld w = world(310, 3);
+    Rules.Known[] jobs = running(w, 1);
+    int owner = w.owner();
+    refuse(w, owner, true);
+    w.state.loseAnswer =
+        t -> {
+          w.state.holdWatches |= t.toString().contains("\"stop\":true");
+          return false;
+        };
+    w.cancel(other(w, owner), jobs[0]);
+    w.loop.run(0.1);
+    assertThat(jobs[0].cancelAnswered).isNotNaN();
+    w.state.outage(true);
+    w.loop.run(8);
+    assertThat(w.workers.values()).allMatch(x -> x.running().isEmpty());
+    fine(w);
+  }
+
+  /**
+   * A gateway confirms, ends, and comes back in the outage: its promise is all that it can give.
+   */
+  private static SimWorld withAForgetfulGateway(int size, List<String> zones) {
+    SimWorld w = new SimWorld(315, SimWorld.Shape.of(size).fleet(8, zones));
+    w.loop.run(3);
+    Rules.Known[] jobs = running(w, 3);
+    int owner = w.owner();
+    int gateway = other(w, owner);
+    for (int i = 0; i < size; i++) {
+      refuse(w, i, i != owner && i != gateway);
+    }
+    w.loop.run(3);
+    refuse(w, owner, true);
+    w.net.cut("c" + owner, "c" + gateway);
+    for (Rules.Known j : jobs) {
+      w.cancel(gateway, j);
+    }
+    w.loop.run(0.1);
+    assertThat(jobs[2].cancelAnswered).isNotNaN();
+    w.state.outage(true);
+    w.crash(gateway);
+    w.net.heal("c" + owner, "c" + gateway);
+    w.loop.run(1);
+    w.start(gateway);
+    return w;
+  }
+
+  @ParameterizedTest
+  @ValueSource(doubles = {5, 12, 20})
+  void aDeputyMadeByAnOwnerThatLivesOnPromisesKnowsNoMoreThanIt(double cutAfter) {
+    SimWorld w = withAForgetfulGateway(5, List.of("a", "b"));
+    w.loop.run(cutAfter);
+    w.net.cutZone(w.owner() % 2 == 0 ? "b" : "a", true);
+    w.loop.run(2 * SimWorld.CANCEL_S);
+    fine(w);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"7, 11", "12, 8", "22, 11", "22, 6"})
+  void processesThatKnowNothingAddNoTimeToWhatTheLastOwnerLeft(double until, double away) {
+    SimWorld w = withAForgetfulGateway(3, ONE_ZONE);
+    w.loop.run(until);
+    w.crashAll();
+    w.loop.run(away);
+    w.startAll();
+    w.loop.run(2 * SimWorld.CANCEL_S);
+    fine(w);
+  }
+
+  @Test
+  void anOwnerWhoseReadsGetNoAnswerAsksItsPeersAndCostsNoLease() {
+    SimWorld w = world(316, 3);
+    running(w, 1);
+    w.state.holdWatches = true;
+    w.loop.run(SimWorld.CANCEL_S + 10);
+    assertThat(w.rules.trace()).noneMatch(x -> x.contains("lease over"));
+    fine(w);
+  }
+
   @Test
   void anOwnerThatKnowsTooLittleGivesNoAnswerThatRenews() {
     SimWorld w = world(307, 3);
