--- a/src/test/java/graderelay/MeetingsTest.java
+++ b/src/test/java/graderelay/MeetingsTest.java
@@ -218,12 +218,14 @@
     Rules.Known[] jobs = running(w, 2);
     int owner = w.owner();
     refuse(w, owner, true);
-    w.loop.run(0.5);
-    w.cancel(other(w, owner), jobs[0]);
     while (w.owner() == owner) {
       w.loop.run(0.001);
     }
-    w.state.outage(true); // Handed over, and nobody can take it.
+    w.cancel(other(w, owner), jobs[0]);
+    while (Double.isNaN(jobs[0].cancelAnswered)) {
+      w.loop.run(0.001);
+    }
+    w.state.outage(true); // Handed over, and nobody can take it any more.
     w.loop.run(10);
     assertThat(w.owner()).isNegative();
     assertThat(w.workers.values()).noneMatch(x -> x.running().contains(jobs[0].id + "/0"));
