--- a/src/main/java/graderelay/api/AdminApi.java
+++ b/src/main/java/graderelay/api/AdminApi.java
@@ -16,6 +16,7 @@
 import graderelay.service.OperatorSettings;
 import graderelay.service.Settings;
 import graderelay.state.Cache;
+import graderelay.state.Needs;
 import graderelay.state.Ownership;
 import graderelay.state.StateClient;
 import graderelay.state.StateClient.How;
@@ -25,6 +26,7 @@
 import graderelay.wire.StateCodec;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -250,14 +252,15 @@
     answer(e, 200, n);
   }
 
-  private static ObjectNode describe(Cache.Entry j) {
+  private static ObjectNode describe(Cache cache, Cache.Entry j) {
     int done = 0;
     int claimed = 0;
     for (Cache.SliceEntry s : j.slices.values()) {
       done += s.record().doneCount();
       claimed += s.record().claimedCount();
     }
-    String stage = j.stop ? "stopping" : claimed > 0 ? "running" : "waiting";
+    boolean stops = j.stop || Needs.cancelled(cache, j, new HashSet<>());
+    String stage = stops ? "stopping" : claimed > 0 ? "running" : "waiting";
     return Json.object()
         .put("id", j.spec.id())
         .put("class", j.spec.jobClass())
@@ -286,7 +289,7 @@
         truncated = true;
         break;
       }
-      a.add(describe(j));
+      a.add(describe(cache, j));
     }
     ObjectNode n = Json.object().put("live_jobs", cache.jobs().size());
     n.put("truncated", truncated);
@@ -300,8 +303,15 @@
       UserApi.refuse(e, 404, "no live job " + id);
       return;
     }
-    ObjectNode n = describe(j);
+    ObjectNode n = describe(cache, j);
     n.put("waits_because", core.get().whyWaiting(id));
+    j.spec.needs().forEach(n.putArray("needs")::add);
+    ArrayNode neededBy = n.putArray("needed_by");
+    for (Cache.Entry o : new TreeMap<>(cache.jobs()).values()) {
+      if (o.spec.needs().contains(id) && neededBy.size() < Constants.MOST_LISTED) {
+        neededBy.add(o.spec.id());
+      }
+    }
     ArrayNode a = n.putArray("claims");
     for (var s : j.slices.entrySet()) {
       SliceRecord r = s.getValue().record();
@@ -375,6 +385,10 @@
             UserApi.refuse(e, 400, b.getMessage());
             return;
           }
+          if (Json.write(next.json()).length > platform.least().valueBytes()) {
+            UserApi.refuse(e, 400, "the settings are too large for the state service");
+            return;
+          }
           StateClient.Txn txn =
               new StateClient.Txn()
                   .when(StateCodec.SETTINGS, cache.settingsMark())
--- a/src/main/java/graderelay/api/UserApi.java
+++ b/src/main/java/graderelay/api/UserApi.java
@@ -14,13 +14,16 @@
 import graderelay.state.Cache;
 import graderelay.state.Cancellations;
 import graderelay.state.Ends;
+import graderelay.state.Needs;
 import graderelay.state.StateClient;
 import graderelay.state.StateClient.How;
 import graderelay.wire.BadRequest;
 import graderelay.wire.Json;
 import graderelay.wire.StateCodec;
 import graderelay.wire.UserCodec;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
@@ -42,6 +45,7 @@
   private final Supplier<Collection<MachineType>> types;
   private final IntSupplier sliceCap;
   private final Ends ends;
+  private final Needs needs;
   private int submissions;
 
   public UserApi(
@@ -59,7 +63,8 @@
     this.settings = settings;
     this.types = types;
     this.sliceCap = sliceCap;
-    this.ends = new Ends(loop, state, cache, settings.txnOps());
+    this.ends = new Ends(loop, state, cache, settings.least().txnOps());
+    this.needs = new Needs(cache, ends);
   }
 
   /** A request that is answered once, at the latest when its time is up. */
@@ -159,7 +164,7 @@
     }
     String never = neverRuns(spec);
     if (never == null) {
-      create(p, spec);
+      admit(p, spec);
     } else {
       // A retry of a job that was accepted once is told so, whatever has changed since.
       known(p, spec);
@@ -224,7 +229,12 @@
                   spec.cpus(),
                   spec.estimateS(),
                   spec.deadlineS());
-              p.answer(201, UserCodec.stage(spec.id(), "pending"));
+              if (spec.needs().isEmpty()) {
+                p.answer(201, UserCodec.stage(spec.id(), "pending"));
+              } else {
+                // It may be cancelled already, with a job that it names.
+                look(p, spec.id(), f -> p.answer(201, UserCodec.stage(spec.id(), f.stage())));
+              }
             }
             case CONFLICT -> known(p, spec);
             case NOT_EXECUTED -> overloaded(p, () -> create(p, spec));
@@ -255,7 +265,81 @@
           if (never != null) {
             p.answer(422, Json.object().put("error", never));
           } else {
-            create(p, spec);
+            admit(p, spec);
+          }
+        });
+  }
+
+  // ---------------------------------------------------------------- dependencies
+
+  /**
+   * Checks the jobs that a job needs against the state service: each was accepted, which is so for
+   * good, by whichever node and version. Those that are done need not be kept.
+   */
+  private void admit(Pending p, JobSpec spec) {
+    if (spec.needs().isEmpty()) {
+      fit(p, spec);
+      return;
+    }
+    cache.catchUp(
+        ok -> {
+          if (!ok) {
+            overloaded(p, () -> admit(p, spec));
+            return;
+          }
+          List<String> unknown = new ArrayList<>();
+          for (String id : spec.needs()) {
+            if (cache.job(id) == null && cache.end(id) == null) {
+              unknown.add(id);
+            }
+          }
+          needs.find(unknown, found -> needed(p, spec, unknown, found));
+        });
+  }
+
+  private void needed(Pending p, JobSpec spec, List<String> looked, List<Ends.Found> found) {
+    if (found.contains(Ends.Found.FAILED)) {
+      overloaded(p, () -> admit(p, spec));
+      return;
+    }
+    List<String> open = new ArrayList<>();
+    for (String id : spec.needs()) {
+      Cache.Entry live = cache.job(id);
+      Cache.End end = cache.end(id);
+      if (live == null && end == null) {
+        refuseUnlessKnown(p, spec, 422, "awaits names " + id + ", which was never accepted");
+        return;
+      }
+      if (live != null && live.spec.isService()) {
+        refuseUnlessKnown(p, spec, 422, "awaits names " + id + ", a service, which is never done");
+        return;
+      }
+      if (end == null || end.cancelled()) {
+        open.add(id);
+      }
+    }
+    fit(p, spec.needing(open));
+  }
+
+  /** The record has to fit a value, also when the state service's limits have become smaller. */
+  private void fit(Pending p, JobSpec spec) {
+    if (Json.write(StateCodec.job(spec, true)).length > settings.least().valueBytes()) {
+      refuseUnlessKnown(p, spec, 400, "the job names too many types, or jobs that are not over");
+    } else {
+      create(p, spec);
+    }
+  }
+
+  /** A retry of a job that was accepted is told so, whatever has become of what it names. */
+  private void refuseUnlessKnown(Pending p, JobSpec spec, int status, String why) {
+    look(
+        p,
+        spec.id(),
+        found -> {
+          if (found != null) {
+            p.answer(200, UserCodec.stage(spec.id(), found.stage()));
+          } else {
+            p.answer(status, Json.object().put("error", why));
           }
         });
   }
@@ -286,6 +370,10 @@
             p.unavailable("the owner may not know that the job is cancelled; ask again");
             return;
           }
+          if (live != null && !live.stop && !live.spec.needs().isEmpty()) {
+            withNeeded(p, live, then);
+            return;
+          }
           if (live != null) {
             then.accept(live(live));
             return;
@@ -299,6 +387,26 @@
         });
   }
 
+  /** A job may be cancelled with one that it needs, before anything says so of itself. */
+  private void withNeeded(Pending p, Cache.Entry e, Consumer<Found> then) {
+    needs.decide(
+        e,
+        v -> {
+          Cache.End end = cache.end(e.spec.id());
+          if (end != null) {
+            then.accept(ended(end)); // It has ended while we looked.
+          } else if (v == Needs.Verdict.CANCELLED) {
+            then.accept(new Found("cancelled", 0, 0, null));
+          } else if (v == Needs.Verdict.NOT_CANCELLED) {
+            then.accept(live(e));
+          } else if (stateAway()) {
+            p.unavailable("the state service can't be reached");
+          } else {
+            p.retry(() -> look(p, e.spec.id(), then));
+          }
+        });
+  }
+
   /**
    * True if the owner has barred this controller. It then counts on hearing of every cancellation
    * that a user is told of by reading the records, also when it can't read them any more: so none
--- a/src/main/java/graderelay/cli/Tools.java
+++ b/src/main/java/graderelay/cli/Tools.java
@@ -4,12 +4,15 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.databind.node.TextNode;
 import graderelay.wire.Json;
+import graderelay.wire.UserCodec;
 import java.io.IOException;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import picocli.CommandLine.ArgGroup;
 import picocli.CommandLine.Command;
@@ -72,6 +75,13 @@
     @Parameters(paramLabel = "FILE", description = "the job as the protocol has it")
     private Path file;
 
+    @Option(
+        names = "--needs",
+        paramLabel = "JOB",
+        description =
+            "a job that has to be done before this one starts; may be given several times")
+    private List<String> needs = new ArrayList<>();
+
     @Override
     public Integer call() {
       JsonNode job;
@@ -85,7 +95,10 @@
         System.err.println("graderelay: " + file + " is not JSON");
         return Main.USAGE;
       }
-      return ask("POST", "/v1/jobs", job);
+      return ask(
+          "POST",
+          "/v1/jobs",
+          job instanceof ObjectNode o && !needs.isEmpty() ? UserCodec.needing(o, needs) : job);
     }
 
     @Override
--- a/src/main/java/graderelay/core/Action.java
+++ b/src/main/java/graderelay/core/Action.java
@@ -49,6 +49,9 @@
    */
   record KeepImages(int part, java.util.Map<String, List<String>> machines) implements Action {}
 
+  /** Asks for the final records of jobs that others need. */
+  record FindEnds(List<String> jobs) implements Action {}
+
   /** Something to be counted: a start with the time that its job waited, or how a task ended. */
   record Seen(String what, double waitedS) implements Action {}
 
--- a/src/main/java/graderelay/core/Claim.java
+++ b/src/main/java/graderelay/core/Claim.java
@@ -36,6 +36,9 @@
   final long session;
   final double since;
 
+  /** Its job's when it was claimed; sums count it under this. */
+  final Priority priority;
+
   /** Zone it is counted in, null until the machine is located. */
   String zone;
 
@@ -83,6 +86,7 @@
     this.machine = machine;
     this.session = session;
     this.since = since;
+    this.priority = job.priority();
     this.stageSince = since;
   }
 
--- a/src/main/java/graderelay/core/Deadlines.java
+++ b/src/main/java/graderelay/core/Deadlines.java
@@ -52,8 +52,16 @@
    * True if the job may wait for cheap machines as long as its deadline is kept. A wanted time to
    * its first start is no reason against it if machines can be rented and up well within that.
    */
+  boolean patient(Job j) {
+    return patient(j.spec, j.hasDue());
+  }
+
   boolean patient(JobSpec s) {
-    if (s.isService() || !s.spot() || s.deadlineS() == null) {
+    return patient(s, s.deadlineS() != null);
+  }
+
+  private boolean patient(JobSpec s, boolean due) {
+    if (s.isService() || !s.spot() || !due) {
       return false;
     }
     Double wait = world.policy.waits().get(s.jobClass());
@@ -81,7 +89,7 @@
    */
   private double dueAt(Job j, double estimate, double now) {
     JobSpec s = j.spec;
-    double whole = j.submittedAt + s.deadlineS();
+    double whole = j.dueAt();
     if (!hurried(s)) {
       return whole;
     }
@@ -113,7 +121,7 @@
     Map<String, List<Part>> teams = new HashMap<>();
     for (Job j : world.jobs.values()) {
       JobSpec s = j.spec;
-      if (!s.isService() && s.deadlineS() != null && !j.stop && !j.suspect && !j.complete()) {
+      if (!s.isService() && j.hasDue() && !j.stop && !j.suspect && !j.complete() && !j.blocked()) {
         teams.computeIfAbsent(s.team(), t -> new ArrayList<>()).add(part(j, now));
       }
     }
@@ -135,10 +143,10 @@
   Set<Job> atLeisure(double now) {
     Set<Job> jobs = new HashSet<>();
     for (Job j : world.jobs.values()) {
-      if (!j.waiting() || j.spec.isService() || j.spec.deadlineS() == null || hurried(j.spec)) {
+      if (!j.waiting() || j.spec.isService() || !j.hasDue() || hurried(j.spec)) {
         continue;
       }
-      double due = j.submittedAt + j.spec.deadlineS() - Constants.DEADLINE_MARGIN_S;
+      double due = j.dueAt() - Constants.DEADLINE_MARGIN_S;
       if (now + estimate(j.spec) * Constants.LEISURE_RUNS < due && !Placer.waitingWins(j, now)) {
         jobs.add(j);
       }
@@ -163,7 +171,7 @@
 
   private Part part(Job j, double now) {
     double estimate = estimate(j.spec);
-    double due = j.submittedAt + j.spec.deadlineS() - Constants.DEADLINE_MARGIN_S;
+    double due = j.dueAt() - Constants.DEADLINE_MARGIN_S;
     return new Part(j, due, remaining(j, estimate, now), estimate);
   }
 
@@ -182,7 +190,7 @@
         new PriorityQueue<>(Comparator.comparingDouble((Part p) -> -p.seconds()));
     double work = 0;
     for (Part p : parts) {
-      double span = p.job().spec.deadlineS();
+      double span = p.job().dueAt() - p.job().acceptedAt;
       if (now > p.due() + Constants.OVERDUE_SPANS * span) {
         continue; // Stepped back for long enough: it goes first now.
       }
@@ -210,7 +218,7 @@
     double total = 0;
     for (Job j : world.jobs.values()) {
       JobSpec s = j.spec;
-      if (!patient(s) || j.stop || j.suspect) {
+      if (!patient(j) || j.stop || j.suspect || j.blocked()) {
         continue;
       }
       double estimate = estimate(s);
--- a/src/main/java/graderelay/core/FleetPlanner.java
+++ b/src/main/java/graderelay/core/FleetPlanner.java
@@ -162,6 +162,11 @@
     newArrivals = true;
   }
 
+  /** Expected run time of a task. */
+  double estimate(JobSpec s) {
+    return deadlines.estimate(s);
+  }
+
   void onRan(JobSpec spec, double seconds) {
     deadlines.onRan(spec, seconds);
   }
@@ -224,7 +229,7 @@
       }
       Bin b = new Bin(m, new Pool(m.type, m.zone, m.spot), m.free());
       for (Claim c : m.claims.values()) {
-        if (!c.job.spec.isService() && Priority.PROD.beats(c.job.spec.priority())) {
+        if (!c.job.spec.isService() && Priority.PROD.beats(c.priority)) {
           b.yielding = b.yielding.plus(c.room());
         }
       }
@@ -333,7 +338,7 @@
    */
   private void close(double surplus, Set<Machine> keep, double now) {
     boolean impatient =
-        world.jobs.values().stream().anyMatch(j -> impatient(j.spec))
+        world.jobs.values().stream().anyMatch(this::impatient)
             || arrivals.stream().anyMatch(a -> impatient(a.spec()));
     if (impatient || now - startedAt < Constants.SETTLE_S) {
       world.machines.values().forEach(m -> m.closing = false);
@@ -385,6 +390,10 @@
     return 1 + (int) (ordinary.size() * Constants.CLOSE_SHARE);
   }
 
+  private boolean impatient(Job j) {
+    return !j.spec.isService() && !j.blocked() && !deadlines.patient(j);
+  }
+
   private boolean impatient(JobSpec s) {
     return !s.isService() && !deadlines.patient(s);
   }
--- a/src/main/java/graderelay/core/Job.java
+++ b/src/main/java/graderelay/core/Job.java
@@ -24,6 +24,9 @@
 
     long stashMark;
 
+    /** No more of its tasks are claimed before this time, since its record would be too large. */
+    double fullUntil = Double.NEGATIVE_INFINITY;
+
     Slice(SliceKey key, int base, SliceRecord record, long mark) {
       this.key = key;
       this.base = base;
@@ -51,7 +54,7 @@
 
   int doneCount;
 
-  /** When its user submitted it, on our steady clock. */
+  /** When it could begin, on our clock: its submission, or the end of the last job it needed. */
   double submittedAt;
 
   /** When the queue's head began to wait; for fairness and for the operator's question why. */
@@ -88,6 +91,8 @@
     this.mark = mark;
     this.stop = stop;
     this.waitingSince = now;
+    this.priority = spec.priority();
+    this.needed.addAll(spec.needs());
     this.open = new BitSet(spec.tasks());
     this.open.set(0, spec.tasks());
   }
@@ -104,7 +109,52 @@
   }
 
   boolean waiting() {
-    return !stop && !ending && !open.isEmpty();
+    return !stop && !ending && !open.isEmpty() && needed.isEmpty();
+  }
+
+  /**
+   * Jobs that it waits for: those whose final record has not been seen to say that they are done.
+   */
+  final Set<String> needed = new HashSet<>();
+
+  /** True while nothing of it may be claimed; it is no demand, and its times have not begun. */
+  boolean blocked() {
+    return !needed.isEmpty();
+  }
+
+  /** When its user submitted it: its deadline counts from then, all else from submittedAt. */
+  double acceptedAt;
+
+  /** When the last job that it needed ended, so far. */
+  double neededUntil = Double.NEGATIVE_INFINITY;
+
+  /** The priority of the most urgent job that needs it, directly or through others, or its own. */
+  private Priority priority;
+
+  /** When it has to be done for those that need it to be in time, or infinite. */
+  double neededBy = Double.POSITIVE_INFINITY;
+
+  Priority priority() {
+    return priority;
+  }
+
+  /** A job that needs it has this priority; claims that stand keep theirs. */
+  boolean raise(Priority other) {
+    boolean raised = other.beats(priority);
+    priority = raised ? other : priority;
+    return raised;
+  }
+
+  /** True if it, or a job that needs it, has a deadline. */
+  boolean hasDue() {
+    return dueAt() < Double.POSITIVE_INFINITY;
+  }
+
+  /** When it has to be done, on our clock. */
+  double dueAt() {
+    double own =
+        spec.deadlineS() == null ? Double.POSITIVE_INFINITY : acceptedAt + spec.deadlineS();
+    return Math.min(own, neededBy);
   }
 
   boolean complete() {
--- a/src/main/java/graderelay/core/JobSpec.java
+++ b/src/main/java/graderelay/core/JobSpec.java
@@ -11,6 +11,7 @@
  * @param deadlineS seconds from submission, or null
  * @param submittedMs time of day at acceptance
  * @param sliceCap tasks in one slice; fixed at acceptance, so that stored slices keep their place
+ * @param needs jobs that have to be done before any task of this one starts, its dependencies
  */
 public record JobSpec(
     String id,
@@ -34,7 +35,8 @@
     double saveS,
     Double deadlineS,
     long submittedMs,
-    int sliceCap) {
+    int sliceCap,
+    List<String> needs) {
 
   /** True if a machine of this type is among the allowed ones and could hold a task when empty. */
   public boolean fits(MachineType type) {
@@ -45,6 +47,34 @@
         && memGb <= type.memGb() + Room.SLACK;
   }
 
+  /** The same job with other dependencies: those that are done need not be kept. */
+  public JobSpec needing(List<String> others) {
+    return new JobSpec(
+        id,
+        jobClass,
+        team,
+        kind,
+        priority,
+        tasks,
+        cpus,
+        gpus,
+        memGb,
+        image,
+        imageGb,
+        types,
+        zone,
+        oneZone,
+        spread,
+        spot,
+        estimateS,
+        checkpointS,
+        saveS,
+        deadlineS,
+        submittedMs,
+        sliceCap,
+        List.copyOf(others));
+  }
+
   /** The most tasks that may be in one zone: half of them rounded up when they are to be spread. */
   public int zoneLimit() {
     return spread ? (tasks + 1) / 2 : tasks;
--- a/src/main/java/graderelay/core/Ledger.java
+++ b/src/main/java/graderelay/core/Ledger.java
@@ -19,6 +19,9 @@
 final class Ledger {
   private final World world;
 
+  /** Hears of each job's end that has committed. */
+  java.util.function.ObjDoubleConsumer<Action.JobEnd> ended = (e, now) -> {};
+
   Ledger(World world) {
     this.world = world;
   }
@@ -132,6 +135,7 @@
       world.remove(c, now);
     }
     world.jobs.remove(j.spec.id());
+    world.dependencies.gone(j);
     world.stopped.remove(j);
     world.maybeOver.remove(j);
     world.dirty = true;
@@ -176,6 +180,7 @@
           }
         }
         forget(j, now);
+        ended.accept(e, now);
       } else {
         j.ending = false;
         world.maybeOver.add(j);
@@ -287,6 +292,27 @@
       for (Claim c : fresh) {
         r.claim(c.task - s.base, c.attempt, c.machine, c.session);
       }
+      int valueBytes = world.policy.valueBytes();
+      SliceRecord fitting = fitting(r, valueBytes);
+      if (fitting == null) {
+        // Made by an earlier version for larger values. What is claimed of it ends sooner or later,
+        // and then there is room in it again.
+        s.fullUntil = now + Constants.FULL_SLICE_S;
+        for (Claim c : fresh) {
+          world.remove(c, now);
+          j.open.set(c.task);
+        }
+        claimed.remove(s);
+        r = s.record.copy();
+        for (Claim c : done) {
+          r.release(c.task - s.base, c.done);
+        }
+        fitting = done.isEmpty() ? null : fitting(r, valueBytes);
+        if (fitting == null) {
+          continue; // What is settled stays so, and is written with what ends next.
+        }
+      }
+      r = fitting;
       int size = r.size() * Constants.SLICE_BYTES_PER_TASK;
       if (puts.size() >= most || (bytes + size > Constants.TXN_BYTES && !puts.isEmpty())) {
         send(puts, claimed, settled);
@@ -302,6 +328,14 @@
     }
   }
 
+  /** The record in a form that fits a value, or null if there is none. */
+  private static SliceRecord fitting(SliceRecord r, int valueBytes) {
+    if (r.size() * Constants.SLICE_BYTES_PER_TASK <= valueBytes || r.bytes(false) <= valueBytes) {
+      return r;
+    }
+    return r.bytes(true) <= valueBytes ? r.packedCopy() : null;
+  }
+
   private void send(
       List<Action.SlicePut> puts,
       Map<Job.Slice, List<Claim>> claimed,
--- a/src/main/java/graderelay/core/Machine.java
+++ b/src/main/java/graderelay/core/Machine.java
@@ -146,7 +146,7 @@
 
   void take(Claim c) {
     used = used.plus(c.room());
-    byPriority.add(c.job.spec.priority());
+    byPriority.add(c.priority);
     if (c.job.spec.isService()) {
       services = services.plus(c.room());
     }
@@ -155,7 +155,7 @@
   void give(Claim c) {
     // An empty machine starts from nothing, so that rounding doesn't add up.
     used = claims.isEmpty() ? Room.NONE : used.minus(c.room());
-    byPriority.remove(c.job.spec.priority());
+    byPriority.remove(c.priority);
     if (c.job.spec.isService()) {
       services = claims.isEmpty() ? Room.NONE : services.minus(c.room());
     }
--- a/src/main/java/graderelay/core/Placer.java
+++ b/src/main/java/graderelay/core/Placer.java
@@ -139,7 +139,7 @@
       share = share(j);
       back = stepBack.contains(j);
       worth = worth(j, now);
-      due = patientEnough ? due(j) : j.spec.submittedMs();
+      due = patientEnough ? due(j) : j.submittedAt;
     }
 
     /**
@@ -147,17 +147,17 @@
      * first must not wait for a slot with its image.
      */
     boolean ranksWith(Keyed o) {
-      return job.spec.priority() == o.job.spec.priority()
+      return job.priority() == o.job.priority()
           && patientEnough
           && o.patientEnough
           && beyond == o.beyond
-          && job.spec.deadlineS() == null
-          && o.job.spec.deadlineS() == null;
+          && !job.hasDue()
+          && !o.job.hasDue();
     }
 
     @Override
     public int compareTo(Keyed o) {
-      int c = job.spec.priority().compareTo(o.job.spec.priority());
+      int c = job.priority().compareTo(o.job.priority());
       c = c != 0 ? c : Boolean.compare(patientEnough, o.patientEnough);
       if (c == 0 && patientEnough) {
         c = Boolean.compare(beyond, o.beyond);
@@ -186,7 +186,7 @@
   private double worth(Job j, double now) {
     JobSpec s = j.spec;
     List<Double> steps = world.policy.waitSteps().getOrDefault(s.jobClass(), List.of());
-    if (s.isService() || steps.isEmpty() || s.deadlineS() != null) {
+    if (s.isService() || steps.isEmpty() || j.hasDue()) {
       return 0; // What is due goes by when it is due.
     }
     double waited = now - j.submittedAt;
@@ -217,8 +217,7 @@
   }
 
   private double due(Job j) {
-    double d = j.spec.deadlineS() == null ? 0 : j.spec.deadlineS() * 1000;
-    return j.spec.submittedMs() + d;
+    return j.hasDue() ? j.dueAt() : j.submittedAt;
   }
 
   /** Places what it can of one job and returns how many records that changes. */
@@ -247,8 +246,11 @@
     Job.Slice last = null;
     for (int t = j.open.nextSetBit(0); t >= 0; t = j.open.nextSetBit(t + 1)) {
       Job.Slice slice = j.slices.get(j.spec.sliceOf(t));
-      if (slice != null && slice.inFlight) {
-        j.waitReason = "a change of its slice is being committed";
+      if (slice != null && (slice.inFlight || slice.fullUntil > now)) {
+        j.waitReason =
+            slice.inFlight
+                ? "a change of its slice is being committed"
+                : "its record is as large as the state service allows";
         // Skip to the next slice.
         t = (j.spec.sliceOf(t) + 1) * j.spec.sliceCap() - 1;
         continue;
@@ -306,14 +308,14 @@
   private void reserve(List<Keyed> waiting) {
     reserved.clear();
     freeCpus = Double.NaN;
-    Priority lowest = waiting.get(waiting.size() - 1).job.spec.priority();
+    Priority lowest = waiting.get(waiting.size() - 1).job.priority();
     for (Keyed k : waiting) {
       JobSpec s = k.job.spec;
-      if (s.priority().beats(lowest) && k.job.notBefore <= roundAt) {
+      if (k.job.priority().beats(lowest) && k.job.notBefore <= roundAt) {
         // Not for what its team's limit keeps from running in any case.
         double cpus = Math.min(blocked(k.job) * s.cpus(), world.cpusLeft(s.team()));
         if (cpus > 0) {
-          reserved.merge(s.priority(), cpus, Double::sum);
+          reserved.merge(k.job.priority(), cpus, Double::sum);
         }
       }
     }
@@ -332,7 +334,7 @@
   private int unreserved(Job j, List<Machine> usable, List<Claim> claims) {
     double kept = 0;
     for (var e : reserved.entrySet()) {
-      kept += e.getKey().beats(j.spec.priority()) ? e.getValue() : 0;
+      kept += e.getKey().beats(j.priority()) ? e.getValue() : 0;
     }
     if (kept == 0 || j.spec.cpus() <= 0) {
       return Integer.MAX_VALUE;
@@ -471,7 +473,7 @@
     Room room = m.free();
     for (Claim c : m.claims.values()) {
       boolean comes = c.stopAsked || c.phase == Claim.Phase.SETTLING;
-      boolean lower = c.phase == Claim.Phase.HELD && j.spec.priority().beats(c.job.spec.priority());
+      boolean lower = c.phase == Claim.Phase.HELD && j.priority().beats(c.priority);
       if (comes || lower) {
         room = room.plus(c.room());
       }
@@ -537,7 +539,7 @@
     int open = j.open.cardinality() - blocked(j);
     int wanted = Math.min(open, mostTried(j) - j.claims.size()) - j.preempting;
     boolean guaranteed = guaranteed(j);
-    if (wanted <= 0 || !(guaranteed || world.byPriority.hasBelow(j.spec.priority()))) {
+    if (wanted <= 0 || !(guaranteed || world.byPriority.hasBelow(j.priority()))) {
       return;
     }
     if (!guaranteed && atLeisure.contains(j)) {
@@ -593,7 +595,7 @@
     return !guaranteed
         && !j.spec.isService()
         && !waitingWins(j, now)
-        && littleBelow.computeIfAbsent(j.spec.priority(), p -> littleBelow(p, usable));
+        && littleBelow.computeIfAbsent(j.priority(), p -> littleBelow(p, usable));
   }
 
   private boolean littleBelow(Priority priority, List<Machine> usable) {
@@ -603,7 +605,7 @@
     }
     double below = 0;
     for (Job o : world.jobs.values()) {
-      if (priority.beats(o.spec.priority())) {
+      if (priority.beats(o.priority())) {
         below += o.claims.size() * o.spec.cpus();
       }
     }
@@ -615,7 +617,7 @@
     PriorityQueue<Offer> offers = new PriorityQueue<>(Comparator.comparingDouble(Offer::cost));
     world.looked += usable.size();
     for (Machine m : usable) {
-      boolean any = within ? !m.claims.isEmpty() : m.byPriority.hasBelow(j.spec.priority());
+      boolean any = within ? !m.claims.isEmpty() : m.byPriority.hasBelow(j.priority());
       if (any && allowed(j, m) && zoneAllowed(j, m.zone)) {
         Offer o = offer(j, m, within, now);
         if (o != null) {
@@ -643,7 +645,7 @@
     Double wait = world.policy.waits().get(j.spec.jobClass());
     for (Claim c : victims) {
       boolean hurry =
-          j.spec.priority().beats(c.job.spec.priority())
+          j.priority().beats(c.priority)
               && wait != null
               && wait < c.job.spec.saveS() + Constants.HURRY_S;
       world.askStop(c, now);
@@ -693,7 +695,7 @@
         continue;
       }
       JobSpec v = c.job.spec;
-      boolean lower = j.spec.priority().beats(v.priority());
+      boolean lower = j.priority().beats(c.priority);
       Room gone = stopping.getOrDefault(v.team(), Room.NONE).plus(c.room());
       boolean borrowed =
           within
@@ -708,7 +710,7 @@
       return null; // Room is on its way already.
     }
     can.sort(
-        Comparator.<Claim, Priority>comparing(c -> c.job.spec.priority())
+        Comparator.<Claim, Priority>comparing(c -> c.priority)
             .reversed()
             .thenComparingDouble(c -> lost(c, now)));
     List<Claim> chosen = new ArrayList<>();
--- a/src/main/java/graderelay/core/Policy.java
+++ b/src/main/java/graderelay/core/Policy.java
@@ -8,6 +8,7 @@
  *
  * @param deputies the other controllers by zone, if there are several
  * @param grantS seconds that a deputy's grant lasts
+ * @param valueBytes the largest value that the state service takes at present
  * @param changesPerS changes of the state service that the owner may make
  * @param directPerS orders that the owner may send straight to workers
  * @param waits for each class with a wanted waiting time, the shortest
@@ -22,6 +23,7 @@
     double leaseS,
     double listLagS,
     int txnOps,
+    int valueBytes,
     double changesPerS,
     double directPerS,
     Map<String, Double> waits,
@@ -49,6 +51,15 @@
   }
 
   Policy with(Tuning t) {
+    return with(t, valueBytes, changesPerS);
+  }
+
+  /** The same where the state service allows no more than this. */
+  Policy within(int bytes, double changes) {
+    return with(tuning, Math.min(valueBytes, bytes), Math.min(changesPerS, changes));
+  }
+
+  private Policy with(Tuning t, int bytes, double changes) {
     return new Policy(
         teams,
         deputies,
@@ -57,7 +68,8 @@
         leaseS,
         listLagS,
         txnOps,
-        changesPerS,
+        bytes,
+        changes,
         directPerS,
         waits,
         waitSteps,
--- a/src/main/java/graderelay/core/Scheduler.java
+++ b/src/main/java/graderelay/core/Scheduler.java
@@ -54,9 +54,11 @@
     world.firstTerm = term;
     world.tookOver = now;
     world.deputies = new Deputies(policy.deputies(), term, policy.grantS(), policy.leaseS(), now);
+    world.dependencies = new Dependencies(world, planner::estimate);
     this.ledger = new Ledger(world);
     this.orders = new Orders(world, ledger);
     this.proof = new Proof(world, ledger, orders, planner);
+    ledger.ended = (e, at) -> onEnd(e.job(), e.cancelled(), at, at);
   }
 
   // ---------------------------------------------------------------- records
@@ -80,9 +82,13 @@
     Job j = world.jobs.get(spec.id());
     if (j == null) {
       j = new Job(spec, mark, stop, now);
+      j.acceptedAt = submittedAt;
       j.submittedAt = submittedAt;
       world.jobs.put(spec.id(), j);
-      planner.onArrival(spec, submittedAt);
+      if (!j.blocked()) {
+        planner.onArrival(spec, submittedAt);
+      }
+      world.dependencies.added(j).forEach(d -> cancelWithNeeded(d, now));
       // Slices that came first, while the job's own record had not been seen yet.
       ledger.jobCame(spec.id());
     } else if (mark > j.mark) {
@@ -116,6 +122,40 @@
     world.stopped.add(j);
     world.maybeOver.add(j);
     orders.stopClaims(j, now);
+    world.dependencies.cancelledWith(j).forEach(d -> cancelWithNeeded(d, now));
+  }
+
+  /** It needs a job that is cancelled. Nothing of it was ever claimed: its record only ends. */
+  private void cancelWithNeeded(Job d, double now) {
+    world.note(d.spec.id() + " is cancelled with a job that it needs");
+    d.stop = true;
+    world.stopped.add(d);
+    world.maybeOver.add(d);
+    world.dirty = true;
+  }
+
+  /** The committed final record of a job, which others may need; {@code at} is when it was made. */
+  public void onEnd(String job, boolean cancelled, double at, double now) {
+    if (!world.dependencies.needed(job)) {
+      return;
+    }
+    if (cancelled) {
+      world.dependencies.cancelled(job).forEach(d -> cancelWithNeeded(d, now));
+      return;
+    }
+    for (Job d : world.dependencies.done(job, Math.min(at, now))) {
+      d.submittedAt = Math.max(d.acceptedAt, d.neededUntil);
+      d.waitingSince = now;
+      d.waitReason = "new";
+      planner.onArrival(d.spec, d.submittedAt);
+      world.note(d.spec.id() + " may begin: all that it needs is done");
+    }
+    world.dirty = true;
+  }
+
+  /** The state service allows less than at our start. */
+  public void onLimits(int valueBytes, double changesPerS) {
+    world.policy = world.policy.within(valueBytes, changesPerS);
   }
 
   /** What an earlier owner kept of the demand. */
@@ -282,6 +322,10 @@
     for (Job j : world.stopped) {
       orders.kill(j.claims.values(), now);
     }
+    List<String> find = world.dependencies.toFind(now);
+    if (!find.isEmpty()) {
+      world.out.add(new Action.FindEnds(find));
+    }
     if (now - lastPlan >= Constants.PLAN_EVERY_S && !world.loading) {
       lastPlan = now;
       planner.plan(now);
@@ -397,6 +441,9 @@
   /** Why a job has tasks that wait, or null if it is not known or has none. */
   public String whyWaiting(String job) {
     Job j = world.jobs.get(job);
+    if (j != null && j.blocked() && !j.stop) {
+      return "it needs " + String.join(", ", new java.util.TreeSet<>(j.needed));
+    }
     return j == null || !j.waiting() ? null : j.waitReason;
   }
 
--- a/src/main/java/graderelay/core/SliceRecord.java
+++ b/src/main/java/graderelay/core/SliceRecord.java
@@ -1,6 +1,8 @@
 package graderelay.core;
 
 import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
 
 /**
  * The stored state of up to a slice cap of tasks of one job. It is the truth about which attempt of
@@ -12,6 +14,9 @@
   private final long[] sessions;
   private final boolean[] done;
 
+  /** Stored in fewer bytes, which earlier versions can't read. */
+  private boolean packed;
+
   public SliceRecord(int[] attempts, String[] machines, long[] sessions, boolean[] done) {
     this.attempts = attempts;
     this.machines = machines;
@@ -62,6 +67,46 @@
     return n;
   }
 
+  /** True if it is to be stored in fewer bytes, in a form that earlier versions can't read. */
+  public boolean packed() {
+    return packed;
+  }
+
+  /** The same, to be stored in that form. */
+  public SliceRecord packedCopy() {
+    SliceRecord r = copy();
+    r.packed = true;
+    return r;
+  }
+
+  /** Bytes of its stored form at most; {@code small}: of the one with a character a task. */
+  int bytes(boolean small) {
+    int n = 32;
+    Map<String, Integer> index = new HashMap<>();
+    for (int i = 0; i < attempts.length; i++) {
+      String m = machines[i];
+      Integer place = m == null ? null : index.get(m + "#" + sessions[i]);
+      if (m != null && place == null) {
+        place = index.size();
+        index.put(m + "#" + sessions[i], place);
+        n += m.length() + 6 + digits(sessions[i]);
+      }
+      if (small) {
+        n += (attempts[i] < ONE_BYTE ? 1 : 3) + (place == null || place < ONE_BYTE ? 1 : 3);
+      } else {
+        n += digits(attempts[i]) + 1 + (place == null ? 3 : digits(place) + 1);
+      }
+    }
+    return n;
+  }
+
+  /** Below this a number is one character of one byte, see the codec; the backslash takes two. */
+  private static final int ONE_BYTE = 50;
+
+  private static int digits(long n) {
+    return Long.toString(n).length();
+  }
+
   SliceRecord copy() {
     return new SliceRecord(attempts.clone(), machines.clone(), sessions.clone(), done.clone());
   }
--- a/src/main/java/graderelay/core/World.java
+++ b/src/main/java/graderelay/core/World.java
@@ -53,6 +53,9 @@
 
   double tookOver;
 
+  /** Which jobs wait for which. */
+  Dependencies dependencies;
+
   /** Who may keep leases alive in zones that are cut off from us. */
   Deputies deputies;
 
@@ -126,7 +129,7 @@
     Machine m = machine(c.machine, now);
     m.claims.put(c.taskId(), c);
     m.take(c);
-    byPriority.add(c.job.spec.priority());
+    byPriority.add(c.priority);
     teamUse.merge(c.job.spec.team(), c.room(), Room::plus);
     c.job.claims.put(c.task, c);
     c.job.open.clear(c.task);
@@ -143,7 +146,7 @@
       return; // Taken out before.
     }
     m.give(c);
-    byPriority.remove(c.job.spec.priority());
+    byPriority.remove(c.priority);
     stopping.remove(c);
     maybeOver.add(c.job);
     roomVersion++;
--- a/src/main/java/graderelay/service/Constants.java
+++ b/src/main/java/graderelay/service/Constants.java
@@ -185,10 +185,10 @@
   public static final double KEEP_IMAGES_EVERY_S = 15;
 
   /**
-   * Records that share the machines' images: some 30 bytes for each, so that two thousand machines
-   * take half of a value of 16 KiB.
+   * Records that share the machines' images: some 30 bytes for each, so that a thousand machines
+   * fit values of 2 KiB.
    */
-  public static final int IMAGE_PARTS = 8;
+  public static final int IMAGE_PARTS = 24;
 
   /** Images named in one of those records: a machine's are bits of one number. */
   public static final int KEPT_IMAGES = 60;
@@ -323,6 +323,28 @@
   /** Seconds before a failed read of the types is repeated; without them nothing is accepted. */
   public static final double TYPES_RETRY_S = 1;
 
+  // ---------------------------------------------------------------- dependencies
+
+  /** Bytes of a value that are left free, since its size may be counted in another way. */
+  public static final int VALUE_MARGIN_BYTES = 48;
+
+  /**
+   * Seconds between the end of a job and the start of one that needs it: report, changes, image.
+   */
+  public static final double STAGE_S = 4;
+
+  /** Seconds between questions for the final record of a needed job that nobody has seen end. */
+  public static final double FIND_ENDS_EVERY_S = 2;
+
+  /** Final records asked for at once. */
+  public static final int MOST_FOUND = 200;
+
+  /** Jobs that a submission may name; a request has at most 64 KiB. */
+  public static final int MOST_NEEDS = 2000;
+
+  /** Seconds for which nothing is claimed in a record that is as large as is allowed. */
+  public static final double FULL_SLICE_S = 1;
+
   // ---------------------------------------------------------------- ownership
 
   /** Share of a worker's lease that the owner's hold lasts: takeovers must beat the lease. */
--- a/src/main/java/graderelay/service/FleetDuty.java
+++ b/src/main/java/graderelay/service/FleetDuty.java
@@ -15,6 +15,8 @@
 import graderelay.net.Loop;
 import graderelay.net.TokenBucket.Use;
 import graderelay.state.Cache;
+import graderelay.state.Ends;
+import graderelay.state.Needs;
 import graderelay.state.Ownership;
 import graderelay.state.StateClient;
 import graderelay.state.StateClient.How;
@@ -49,6 +51,8 @@
   private long stale;
   private final Metrics metrics;
   private final double startedAt;
+  private final Settings.StateLimits least;
+  private final Needs needs;
   private final double listLagS;
 
   FleetDuty(
@@ -59,6 +63,7 @@
       CloudClient cloud,
       WorkerClient workers,
       Policy policy,
+      Settings settings,
       OperatorSettings operators,
       Metrics metrics,
       RandomGenerator random,
@@ -69,6 +74,8 @@
     this.ownership = ownership;
     this.cloud = cloud;
     this.workers = workers;
+    this.least = settings.least();
+    this.needs = new Needs(cache, new Ends(loop, state, cache, least.txnOps()));
     this.operators = operators;
     this.metrics = metrics;
     this.firstTerm = ownership.term();
@@ -124,6 +131,25 @@
     stepSoon();
   }
 
+  void onEnd(String id, Cache.End e) {
+    // Records of earlier versions don't say when: then it was just now, for all that is known.
+    double at = e.atMs() == 0 ? loop.now() : loop.now() - (loop.wallMs() - e.atMs()) / 1000.0;
+    core.onEnd(id, e.cancelled(), at, loop.now());
+    stepSoon();
+  }
+
+  private void findEnds(List<String> jobs) {
+    needs.find(
+        jobs,
+        found -> {
+          for (String id : jobs) {
+            if (!closed && cache.end(id) != null) {
+              onEnd(id, cache.end(id));
+            }
+          }
+        });
+  }
+
   void onJobGone(String id) {
     core.onJobGone(id, loop.now());
     stepSoon();
@@ -261,12 +287,16 @@
         hire(h);
       } else if (a instanceof Action.GiveBack g) {
         giveBack(g);
+      } else if (a instanceof Action.FindEnds f) {
+        findEnds(f.jobs());
       } else if (a instanceof Action.KeepDemand k) {
         // A hint, so an answer that is lost doesn't matter; the owner's mark keeps past ones out.
         state.commit(
             new StateClient.Txn()
                 .when(StateCodec.OWNER, ownership.ownerMark())
-                .put(StateCodec.DEMAND, StateCodec.demand(k.classes(), loop.wallMs())),
+                .put(
+                    StateCodec.DEMAND,
+                    StateCodec.demand(k.classes(), loop.wallMs(), least.valueBytes())),
             Use.SUBMISSION,
             r -> {});
       } else if (a instanceof Action.KeepImages k) {
@@ -275,7 +305,7 @@
                 .when(StateCodec.OWNER, ownership.ownerMark())
                 .put(
                     StateCodec.IMAGES + k.part(),
-                    StateCodec.images(k.machines(), Constants.KEPT_IMAGES)),
+                    StateCodec.images(k.machines(), Constants.KEPT_IMAGES, least.valueBytes())),
             Use.SUBMISSION,
             r -> {});
       } else if (a instanceof Action.RaiseTerm) {
@@ -304,7 +334,7 @@
     for (Action.JobEnd e : w.ends()) {
       String key = StateCodec.jobKey(e.job());
       txn.when(key, e.jobMark()).drop(key);
-      txn.put(StateCodec.endKey(e.job()), StateCodec.end(e.cancelled(), e.tasks()));
+      txn.put(StateCodec.endKey(e.job()), StateCodec.end(e.cancelled(), e.tasks(), loop.wallMs()));
       for (Action.SliceDrop d : e.slices()) {
         String s = StateCodec.sliceKey(d.key());
         txn.when(s, d.mark()).drop(s);
@@ -328,6 +358,8 @@
       carryOut();
       stepSoon();
     } else if (r.how() == How.NOT_EXECUTED) {
+      core.onLimits(
+          state.smaller() ? least.valueBytes() : Integer.MAX_VALUE, state.ownersChanges());
       loop.after(Constants.STATE_RETRY_S, () -> answer(id, Outcome.REFUSED));
     } else {
       LOG.info("transaction {}: {} {}", id, r.how(), r.body() == null ? "" : r.body());
--- a/src/main/java/graderelay/service/Node.java
+++ b/src/main/java/graderelay/service/Node.java
@@ -81,6 +81,7 @@
             s.stateAddress(),
             s.stateRps(),
             s.stateChangesPerS(),
+            s.least().changesPerS(),
             s.peers().size());
     this.cache = new Cache(loop, state, new Changes());
     this.mesh = new MeshClient(transport, s.peers());
@@ -126,7 +127,8 @@
   }
 
   private static int mostSlice(Settings s) {
-    return Math.max(1, (int) (s.valueKb() * 1024 / Constants.SLICE_BYTES_PER_TASK));
+    // New records fit what the state service will allow as well.
+    return Math.max(1, (int) (s.least().valueKb() * 1024 / Constants.SLICE_BYTES_PER_TASK));
   }
 
   private Policy policy() {
@@ -137,7 +139,8 @@
         settings.reportS(),
         settings.leaseS(),
         settings.listLagS(),
-        settings.txnOps(),
+        settings.least().txnOps(),
+        (int) ((state.smaller() ? settings.least() : settings.now()).valueKb() * 1024),
         state.ownersChanges(),
         settings.cpuShare() * Constants.DIRECT_PER_CORE_S,
         settings.waits(),
@@ -384,8 +387,8 @@
             }
             duty =
                 new FleetDuty(
-                    loop, state, cache, ownership, cloud, workers, policy(), operators, metrics,
-                    random, types);
+                    loop, state, cache, ownership, cloud, workers, policy(), settings, operators,
+                    metrics, random, types);
             duty.start();
             metrics.span("graderelay.takeover", loop.now() - since);
           });
@@ -429,6 +432,13 @@
       }
     }
 
+    @Override
+    public void onEnd(String id, Cache.End e) {
+      if (duty != null) {
+        duty.onEnd(id, e);
+      }
+    }
+
     @Override
     public void onOwner() {
       ownership.consider();
--- a/src/main/java/graderelay/service/Settings.java
+++ b/src/main/java/graderelay/service/Settings.java
@@ -33,7 +33,29 @@
     double cloudRps,
     double listLagS,
     double cpuShare,
-    int maxConnections) {
+    int maxConnections,
+    StateLimits next) {
+
+  /** What the state service allows. */
+  public record StateLimits(double changesPerS, double valueKb, int txnOps) {
+    /** The largest value, with some room for what is counted in other ways. */
+    public int valueBytes() {
+      return (int) (valueKb * 1024) - Constants.VALUE_MARGIN_BYTES;
+    }
+  }
+
+  /** What it allows at present, as far as the platform's file says. */
+  public StateLimits now() {
+    return new StateLimits(stateChangesPerS, valueKb, txnOps);
+  }
+
+  /** What fits its present limits and those that it will have from some moment on. */
+  public StateLimits least() {
+    return new StateLimits(
+        Math.min(stateChangesPerS, next.changesPerS()),
+        Math.min(valueKb, next.valueKb()),
+        Math.min(txnOps, next.txnOps()));
+  }
 
   /** Another controller. */
   public record Peer(String member, String zone, String address) {}
@@ -121,6 +143,8 @@
     JsonNode d = table(n, "deployment");
     JsonNode workers = table(d, "workers", "deployment.");
     JsonNode state = table(d, "state", "deployment.");
+    JsonNode next =
+        state.has("next") ? table(state, "next", "deployment.state.") : state.path("next");
     JsonNode cloud = table(d, "cloud", "deployment.");
     JsonNode resources = table(d, "resources", "deployment.");
     List<Team> teams = new ArrayList<>();
@@ -176,7 +200,19 @@
         number(cloud, "rps", "deployment.cloud.", 0.001),
         number(cloud, "list_lag_s", "deployment.cloud.", 0),
         number(resources, "cpu_share", "deployment.resources.", 0.001),
-        (int) number(resources, "max_connections", "deployment.resources.", 16));
+        (int) number(resources, "max_connections", "deployment.resources.", 16),
+        new StateLimits(
+            limit(state, next, "write_rps", 0.001),
+            limit(state, next, "value_kb", 1),
+            (int) limit(state, next, "txn_ops", 3)));
+  }
+
+  /** A limit to come; the present one stands where none is given. */
+  private static double limit(JsonNode state, JsonNode next, String name, double least)
+      throws Wrong {
+    return next.has(name)
+        ? number(next, name, "deployment.state.next.", least)
+        : state.path(name).doubleValue();
   }
 
   /** What a team is guaranteed and what it may use at most, where 0 means none of either. */
--- a/src/main/java/graderelay/state/Cache.java
+++ b/src/main/java/graderelay/state/Cache.java
@@ -43,7 +43,7 @@
   public record SliceEntry(SliceRecord record, long mark) {}
 
   /** A final state. */
-  public record End(boolean cancelled, int tasks) {}
+  public record End(boolean cancelled, int tasks, long atMs) {}
 
   /** Who wants to hear of changes. */
   public interface Listener {
@@ -55,6 +55,8 @@
 
     void onSliceGone(SliceKey key);
 
+    void onEnd(String id, End e);
+
     void onOwner();
 
     void onSettings();
@@ -427,6 +429,7 @@
     } else if (key.startsWith(StateCodec.ENDS)) {
       String id = key.substring(StateCodec.ENDS.length());
       ends.put(id, endOf(value));
+      listener.onEnd(id, ends.get(id));
     } else if (key.equals(StateCodec.OWNER) && mark > ownerMark) {
       owner = StateCodec.owner(value);
       ownerMark = mark;
@@ -459,7 +462,10 @@
   }
 
   public static End endOf(JsonNode value) {
-    return new End(value.path("end").asText().equals("cancelled"), value.path("tasks").asInt());
+    return new End(
+        value.path("end").asText().equals("cancelled"),
+        value.path("tasks").asInt(),
+        value.path("at").asLong());
   }
 
   private void putJob(String id, JsonNode value, long mark) {
--- /dev/null
+++ b/src/main/java/graderelay/state/Needs.java
@@ -0,0 +1,102 @@
+package graderelay.state;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/**
+ * Whether a job is cancelled with one that it needs. Derived from the records of the needed jobs
+ * alone, so that every controller says so as soon as the one conditional write on the cancelled job
+ * has committed, however far the owner is with the ends of those that need it.
+ */
+public final class Needs {
+  /** What the records say. */
+  public enum Verdict {
+    CANCELLED,
+    NOT_CANCELLED,
+    /** The state service did not tell. */
+    UNDECIDED
+  }
+
+  private final Cache cache;
+  private final Ends ends;
+
+  public Needs(Cache cache, Ends ends) {
+    this.cache = cache;
+    this.ends = ends;
+  }
+
+  /** What this node's copy says; ids whose end it does not know are added to {@code unknown}. */
+  public static boolean cancelled(Cache cache, Cache.Entry e, Set<String> unknown) {
+    Set<String> seen = new HashSet<>();
+    Deque<Cache.Entry> next = new ArrayDeque<>();
+    next.add(e);
+    while (!next.isEmpty()) {
+      for (String id : next.poll().spec.needs()) {
+        if (!seen.add(id)) {
+          continue;
+        }
+        Cache.Entry live = cache.job(id);
+        Cache.End end = cache.end(id);
+        if ((live != null && live.stop) || (end != null && end.cancelled())) {
+          return true;
+        }
+        if (end == null && live != null) {
+          next.add(live);
+        } else if (end == null) {
+          unknown.add(id);
+        }
+      }
+    }
+    return false;
+  }
+
+  /** Decides for a job whose record has just been caught up with. */
+  public void decide(Cache.Entry e, Consumer<Verdict> then) {
+    if (e.spec.needs().isEmpty()) {
+      then.accept(Verdict.NOT_CANCELLED);
+      return;
+    }
+    Set<String> unknown = new HashSet<>();
+    if (cancelled(cache, e, unknown)) {
+      then.accept(Verdict.CANCELLED);
+    } else if (unknown.isEmpty()) {
+      then.accept(Verdict.NOT_CANCELLED);
+    } else {
+      // A needed job was accepted before: if it isn't live, its final record is there.
+      look(unknown, all -> then.accept(all ? after(e) : Verdict.UNDECIDED));
+    }
+  }
+
+  private Verdict after(Cache.Entry e) {
+    Set<String> unknown = new HashSet<>();
+    boolean is = cancelled(cache, e, unknown);
+    return is ? Verdict.CANCELLED : unknown.isEmpty() ? Verdict.NOT_CANCELLED : Verdict.UNDECIDED;
+  }
+
+  private void look(Set<String> ids, Consumer<Boolean> then) {
+    find(List.copyOf(ids), found -> then.accept(!found.contains(Ends.Found.FAILED)));
+  }
+
+  /** Looks for the final records of all of these; the answers come in no order. */
+  public void find(List<String> ids, Consumer<List<Ends.Found>> then) {
+    List<Ends.Found> found = new ArrayList<>();
+    if (ids.isEmpty()) {
+      then.accept(found);
+    }
+    for (String id : ids) {
+      ends.look(
+          id,
+          f -> {
+            found.add(f);
+            if (found.size() == ids.size()) {
+              then.accept(found);
+            }
+          });
+    }
+  }
+}
--- a/src/main/java/graderelay/state/StateClient.java
+++ b/src/main/java/graderelay/state/StateClient.java
@@ -79,7 +79,12 @@
   private final Transport transport;
   private final String address;
   private final double rps;
-  private final double changesPerS;
+  private double changesPerS;
+  private final double leastChangesPerS;
+
+  /** The service has refused a transaction for its size that its first limits allow. */
+  private boolean smaller;
+
   private final int others;
   private final TokenBucket requests;
   private final TokenBucket changes;
@@ -96,12 +101,19 @@
   private double borrowedUntil;
 
   public StateClient(
-      Loop loop, Transport transport, String address, double rps, double changesPerS, int others) {
+      Loop loop,
+      Transport transport,
+      String address,
+      double rps,
+      double changesPerS,
+      double leastChangesPerS,
+      int others) {
     this.loop = loop;
     this.transport = transport;
     this.address = address;
     this.rps = rps;
     this.changesPerS = changesPerS;
+    this.leastChangesPerS = leastChangesPerS;
     this.others = Math.max(1, others);
     this.requests = new TokenBucket(loop, othersRequests(), othersRequests());
     this.changes = new TokenBucket(loop, othersChanges(), othersChanges());
@@ -317,6 +329,19 @@
         });
   }
 
+  /** True once the service has refused a transaction for a size that its first limits allow. */
+  public boolean smaller() {
+    return smaller;
+  }
+
+  /** The rate to come is in force: all that is sent from now on keeps it. */
+  private void slowDown() {
+    if (leastChangesPerS < changesPerS) {
+      changesPerS = leastChangesPerS;
+      changes.rate(owner ? ownersChanges() : othersChanges());
+    }
+  }
+
   private Result result(String method, String path, Reply r) {
     JsonNode body = r.status() == 0 ? null : Json.read(r.body());
     How how =
@@ -336,6 +361,14 @@
       requests.penalty();
       changes.penalty();
     }
+    if (path.equals("/multi")) {
+      // Too many changes at once say nothing of the size that a value may have: the smaller form of
+      // a record must not be written before the service has shown that it takes no other.
+      smaller |= r.status() == 400 && how != How.NO_HOLD;
+      if (smaller || r.status() == 429) {
+        slowDown();
+      }
+    }
     boolean answered = r.status() != 0 && r.status() != 503;
     if (answered) {
       lastOk = loop.now();
--- a/src/main/java/graderelay/wire/StateCodec.java
+++ b/src/main/java/graderelay/wire/StateCodec.java
@@ -9,6 +9,7 @@
 import graderelay.core.Priority;
 import graderelay.core.SliceKey;
 import graderelay.core.SliceRecord;
+import graderelay.service.Constants;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -113,6 +114,9 @@
       n.put("deadline", s.deadlineS());
     }
     n.put("at", s.submittedMs()).put("cap", s.sliceCap());
+    if (!s.needs().isEmpty()) {
+      s.needs().forEach(n.putArray("needs")::add);
+    }
     if (stop) {
       n.put("stop", true);
     }
@@ -153,7 +157,17 @@
         n.path("save").asDouble(),
         n.has("deadline") ? n.get("deadline").asDouble() : null,
         n.path("at").asLong(),
-        Math.max(1, n.path("cap").asInt(1)));
+        Math.max(1, n.path("cap").asInt(1)),
+        needs(n.path("needs")));
+  }
+
+  private static List<String> needs(JsonNode n) {
+    if (n.isEmpty()) {
+      return List.of();
+    }
+    List<String> needs = new ArrayList<>();
+    n.forEach(need -> needs.add(need.asText()));
+    return List.copyOf(needs);
   }
 
   /** The recent demand, with times of day. */
@@ -162,7 +176,7 @@
     ArrayNode list = n.putArray("classes");
     for (Action.Demand d : classes) {
       ObjectNode c = list.addObject();
-      c.set("latest", job(d.latest(), false));
+      c.set("latest", job(d.latest().needing(List.of()), false));
       ArrayNode a = c.putArray("arrivals");
       for (double[] x : d.arrivals()) {
         a.addArray().add(nowMs - (long) (x[0] * 1000)).add((int) x[1]);
@@ -171,6 +185,26 @@
     return n;
   }
 
+  /** The same within so many bytes: the oldest arrivals are left out, then whole classes. */
+  public static ObjectNode demand(List<Action.Demand> classes, long nowMs, int mostBytes) {
+    int most = Constants.KEPT_ARRIVALS;
+    ObjectNode n = demand(classes, nowMs);
+    while (Json.write(n).length > mostBytes) {
+      ArrayNode list = (ArrayNode) n.get("classes");
+      most /= 2;
+      if (most == 0 && list.size() > 0) {
+        list.remove(list.size() - 1);
+      }
+      for (JsonNode c : list) {
+        ArrayNode arrivals = (ArrayNode) c.get("arrivals");
+        while (arrivals.size() > Math.max(1, most)) {
+          arrivals.remove(arrivals.size() - 1);
+        }
+      }
+    }
+    return n;
+  }
+
   public static List<Action.Demand> demand(JsonNode n, long nowMs) {
     List<Action.Demand> classes = new ArrayList<>();
     for (JsonNode c : n.path("classes")) {
@@ -207,6 +241,17 @@
     return n;
   }
 
+  /** The same within so many bytes; it is a hint, so some machines may be left out. */
+  public static ObjectNode images(Map<String, List<String>> machines, int most, int mostBytes) {
+    Map<String, List<String>> some = new HashMap<>(machines);
+    ObjectNode n = images(some, most);
+    while (Json.write(n).length > mostBytes && !some.isEmpty()) {
+      some.keySet().removeAll(some.keySet().stream().limit(1 + some.size() / 8).toList());
+      n = images(some, most);
+    }
+    return n;
+  }
+
   public static Map<String, List<String>> images(JsonNode n) {
     Map<String, List<String>> machines = new HashMap<>();
     JsonNode names = n.path("images");
@@ -225,9 +270,12 @@
     return machines;
   }
 
-  /** The final state of a job. */
-  public static ObjectNode end(boolean cancelled, int tasks) {
-    return Json.object().put("end", cancelled ? "cancelled" : "done").put("tasks", tasks);
+  /** The final state of a job, and the time of day at which it was written. */
+  public static ObjectNode end(boolean cancelled, int tasks, long nowMs) {
+    return Json.object()
+        .put("end", cancelled ? "cancelled" : "done")
+        .put("tasks", tasks)
+        .put("at", nowMs);
   }
 
   private static final int QUEUED = -1;
@@ -242,6 +290,69 @@
     if (r.doneCount() == r.size()) {
       return n.put("done", r.size());
     }
+    return r.packed() ? packed(r) : plain(r);
+  }
+
+  /**
+   * The same in fewer bytes, a character for each task instead of numbers. Only for slices that an
+   * earlier version made too large for the state service's present limits; that version can't read
+   * it.
+   */
+  private static ObjectNode packed(SliceRecord r) {
+    ObjectNode n = Json.object();
+    StringBuilder attempts = new StringBuilder();
+    StringBuilder places = new StringBuilder();
+    ArrayNode machines = Json.array();
+    Map<String, Integer> index = new HashMap<>();
+    for (int i = 0; i < r.size(); i++) {
+      attempts.append((char) (FIRST_CHAR + r.attempt(i)));
+      String m = r.machine(i);
+      int place = QUEUED;
+      if (r.done(i)) {
+        place = DONE;
+      } else if (m != null) {
+        long session = r.session(i);
+        place =
+            index.computeIfAbsent(
+                m + "#" + session,
+                k -> {
+                  machines.addArray().add(m).add(session);
+                  return machines.size() - 1;
+                });
+      }
+      places.append((char) (FIRST_CHAR - DONE + place));
+    }
+    n.put("as", attempts.toString()).put("ps", places.toString());
+    n.set("m", machines);
+    return n;
+  }
+
+  private static SliceRecord unpacked(JsonNode n) {
+    String attempts = n.path("as").asText();
+    String places = n.path("ps").asText();
+    JsonNode machines = n.path("m");
+    int size = attempts.length();
+    int[] a = new int[size];
+    String[] m = new String[size];
+    long[] s = new long[size];
+    boolean[] d = new boolean[size];
+    for (int i = 0; i < size; i++) {
+      a[i] = attempts.charAt(i) - FIRST_CHAR;
+      int p = places.charAt(i) - FIRST_CHAR + DONE;
+      d[i] = p == DONE;
+      if (p >= 0) {
+        m[i] = machines.path(p).path(0).asText().intern();
+        s[i] = machines.path(p).path(1).asLong();
+      }
+    }
+    return new SliceRecord(a, m, s, d);
+  }
+
+  /** Past the quotation mark; some ninety characters of one byte follow, then those of two. */
+  private static final char FIRST_CHAR = '#';
+
+  private static ObjectNode plain(SliceRecord r) {
+    ObjectNode n = Json.object();
     ArrayNode attempts = n.putArray("a");
     ArrayNode machines = n.putArray("m");
     ArrayNode places = n.putArray("p");
@@ -274,6 +385,9 @@
       java.util.Arrays.fill(done, true);
       return new SliceRecord(new int[size], new String[size], new long[size], done);
     }
+    if (n.has("as")) {
+      return unpacked(n);
+    }
     JsonNode attempts = n.path("a");
     JsonNode machines = n.path("m");
     JsonNode places = n.path("p");
--- a/src/main/java/graderelay/wire/UserCodec.java
+++ b/src/main/java/graderelay/wire/UserCodec.java
@@ -7,7 +7,9 @@
 import graderelay.core.Priority;
 import graderelay.service.Constants;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.regex.Pattern;
 
 /** What passes between users and controllers. */
@@ -56,7 +58,38 @@
         f.amount("stack_write_s", true),
         f.amountOrNull("ship_s"),
         nowMs,
-        sliceCap);
+        sliceCap,
+        needs(f.raw("awaits"), id));
+  }
+
+  /** The jobs that this one waits for, each once. */
+  private static List<String> needs(JsonNode n, String id) throws BadRequest {
+    if (n == null) {
+      return List.of();
+    }
+    if (!n.isArray()) {
+      throw new BadRequest("awaits must be null or a list of job ids");
+    }
+    if (n.size() > Constants.MOST_NEEDS) {
+      throw new BadRequest("awaits has more than " + Constants.MOST_NEEDS + " entries");
+    }
+    Set<String> needs = new LinkedHashSet<>();
+    for (JsonNode need : n) {
+      if (!need.isTextual() || !isId(need.textValue())) {
+        throw new BadRequest("awaits must hold ids like j-000412");
+      }
+      if (need.textValue().equals(id)) {
+        throw new BadRequest("a job can't wait for itself");
+      }
+      needs.add(need.textValue());
+    }
+    return List.copyOf(needs);
+  }
+
+  /** A submission as its user wrote it, with more jobs that it has to wait for. */
+  public static ObjectNode needing(ObjectNode submission, List<String> ids) {
+    ids.forEach(submission.withArray("awaits")::add);
+    return submission;
   }
 
   private static Priority priority(String s) throws BadRequest {
--- /dev/null
+++ b/src/test/java/graderelay/PipelinesTest.java
@@ -0,0 +1,449 @@
+package graderelay;
+
+import static graderelay.StoryWords.fine;
+import static graderelay.StoryWords.world;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import graderelay.core.Action;
+import graderelay.core.JobSpec;
+import graderelay.core.Priority;
+import graderelay.core.Scheduler;
+import graderelay.core.SliceRecord;
+import graderelay.service.Settings;
+import graderelay.sim.Rules;
+import graderelay.sim.SimWorld;
+import graderelay.wire.Json;
+import graderelay.wire.StateCodec;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Short stories of jobs that need others, and of a state service that lowers its limits. */
+class PipelinesTest {
+  private static Rules.Known job(SimWorld w, int n, int tasks, double runS, Rules.Known... needs) {
+    Rules.Known j = w.job(String.format("j-0007%02d", n), tasks, 1, runS, true);
+    j.needs = List.of(needs);
+    return j;
+  }
+
+  /** Submitted one after the other, each as soon as the one before it is accepted. */
+  private static List<Rules.Known> chain(SimWorld w, int stages, double runS) {
+    List<Rules.Known> all = new ArrayList<>();
+    for (int i = 0; i < stages; i++) {
+      Rules.Known j = i == 0 ? job(w, 0, 2, runS) : job(w, i, 2, runS, all.get(i - 1));
+      all.add(j);
+      accept(w, i % w.size, j);
+    }
+    return all;
+  }
+
+  private static void accept(SimWorld w, int node, Rules.Known j) {
+    w.submit(node, j);
+    for (int i = 0; i < 600 && !j.accepted; i++) {
+      w.loop.run(0.1);
+    }
+    assertThat(j.accepted).isTrue();
+  }
+
+  private static void everywhere(SimWorld w, List<Rules.Known> jobs, String stage) {
+    for (Rules.Known j : jobs) {
+      for (int i = 0; i < w.size; i++) {
+        assertThat(w.stage(i, j.id)).as(j.id).isEqualTo(stage);
+      }
+    }
+    fine(w);
+  }
+
+  private static int http(SimWorld w, int node, JsonNode body) {
+    return w.answer(node, "POST", "/v1/jobs", Json.write(body)).path("http").asInt();
+  }
+
+  // ---------------------------------------------------------------- too early never
+
+  @Test
+  void theStagesOfAChainRunOneAfterTheOther() {
+    SimWorld w = world(401, 3);
+    List<Rules.Known> jobs = chain(w, 4, 3);
+    assertThat(w.stage(1, jobs.get(3).id)).isEqualTo("pending");
+    w.loop.run(50);
+    everywhere(w, jobs, "done");
+    assertThat(w.rules.starts).isEqualTo(8);
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"crash", "lostAnswers", "late", "outage", "isolate", "blink", "handover"})
+  void noStageBeginsTooEarlyInAnyTrouble(String trouble) {
+    SimWorld w = world(402, 3);
+    w.lookClosely();
+    Rules.Known first = job(w, 0, 3, 4);
+    Rules.Known second = job(w, 1, 2, 5);
+    accept(w, 0, first);
+    accept(w, 1, second);
+    Rules.Known join = job(w, 2, 3, 3, first, second);
+    accept(w, 2, join);
+    Rules.Known last = job(w, 3, 1, 2, join, first);
+    accept(w, 0, last);
+    for (int i = 0; i < 8; i++) {
+      int owner = w.owner();
+      switch (trouble) {
+        case "crash", "blink" -> {
+          if (owner >= 0) {
+            w.crash(owner);
+            w.loop.after(trouble.equals("crash") ? 4 : 0.2, () -> w.start(owner));
+          }
+        }
+        case "lostAnswers" -> w.state.loseAnswer = t -> w.random.nextInt(2) == 0;
+        case "late" -> {
+          w.state.delayS = 3;
+          w.state.delay = t -> w.random.nextInt(3) == 0;
+        }
+        case "outage" -> {
+          w.state.outage(true);
+          w.loop.after(4, () -> w.state.outage(false));
+        }
+        case "isolate" -> {
+          if (owner >= 0) {
+            w.isolate(owner, true);
+            w.loop.after(4, () -> w.isolate(owner, false));
+          }
+        }
+        default -> {
+          if (owner >= 0) {
+            w.refused[owner][0] = true;
+            w.loop.after(3, () -> w.refused[owner][0] = false);
+          }
+        }
+      }
+      w.loop.run(6);
+    }
+    w.state.loseAnswer = t -> false;
+    w.state.delay = t -> false;
+    w.loop.run(60);
+    everywhere(w, List.of(first, second, join, last), "done");
+  }
+
+  @Test
+  void aReportOfTheLastTaskAloneStartsNothing() {
+    Scheduler s = CoreStories.scheduler(1);
+    CoreStories.machine(s, "n-1", 1, 1, 0);
+    s.onJob(CoreStories.array("j-1", 1), false, 5, 0, 0);
+    s.onJob(CoreStories.array("j-2", 1).needing(List.of("j-1")), false, 6, 0, 0);
+    CoreStories.commitAll(s, 10, 0.1);
+    assertThat(CoreStories.claimsOf(s, "n-1")).isEqualTo(1);
+    CoreStories.work(s, "n-1", 2, 1, 5);
+    s.step(5.7); // The end is on its way to the state service, no more.
+    CoreStories.work(s, "n-1", 4, 0, 6);
+    s.step(6.7);
+    assertThat(s.whyWaiting("j-2")).contains("j-1");
+    CoreStories.commitAll(s, 11, 7);
+    CoreStories.commitAll(s, 12, 7.2);
+    assertThat(CoreStories.tasksStarted(s, "j-2")).isEqualTo(1);
+  }
+
+  @Test
+  void aNewOwnerFindsTheEndsThatItNeverSaw() {
+    SimWorld w = world(403, 3);
+    Rules.Known first = job(w, 0, 1, 3);
+    Rules.Known slow = job(w, 1, 1, 25);
+    accept(w, 0, first);
+    accept(w, 0, slow);
+    Rules.Known both = job(w, 2, 1, 3, first, slow);
+    accept(w, 1, both);
+    w.loop.run(18);
+    assertThat(w.stage(0, first.id)).isEqualTo("done");
+    w.crashAll();
+    w.loop.run(1);
+    w.startAll(); // Nobody remembers the first job now.
+    w.loop.run(45);
+    everywhere(w, List.of(first, slow, both), "done");
+  }
+
+  // ---------------------------------------------------------------- waiting jobs
+
+  @Test
+  void aWaitingJobIsNoDemandAndStopsNobody() {
+    Scheduler s = CoreStories.scheduler(1);
+    CoreStories.machine(s, "n-1", 1, 1, 0);
+    s.onJob(CoreStories.ranked("j-1", Priority.LOW, 4, null), false, 5, 0, 0);
+    CoreStories.commitAll(s, 10, 0.1);
+    JobSpec urgent = CoreStories.ranked("j-2", Priority.URGENT, 40, 300.0);
+    s.onJob(urgent.needing(List.of("j-1")), false, 6, 0.2, 0.2);
+    for (int i = 1; i < 400; i += 10) {
+      CoreStories.machine(s, "n-1", 1, 1 + i, i);
+      s.tick(i);
+    }
+    assertThat(CoreStories.notes(s)).noneMatch(n -> n.contains("preempt"));
+    assertThat(CoreStories.taken(s)).noneMatch(a -> a instanceof Action.Hire);
+    assertThat(s.whyWaiting("j-2")).contains("j-1");
+  }
+
+  @Test
+  void whatIsNeededByAnUrgentJobGoesBeforeOthersAndByItsDeadline() {
+    Scheduler s = CoreStories.scheduler(1);
+    s.onJob(CoreStories.ranked("j-1", Priority.NORMAL, 4, null), false, 5, 0, 0);
+    s.onJob(CoreStories.ranked("j-2", Priority.LOW, 4, null), false, 6, 0, 0);
+    JobSpec middle = CoreStories.ranked("j-3", Priority.LOW, 1, null);
+    s.onJob(middle.needing(List.of("j-2")), false, 7, 0, 0);
+    JobSpec last = CoreStories.ranked("j-4", Priority.URGENT, 1, 100.0);
+    s.onJob(last.needing(List.of("j-3")), false, 8, 0, 0);
+    CoreStories.machine(s, "n-1", 1, 1, 0); // Room for four.
+    CoreStories.commitAll(s, 10, 0.1);
+    assertThat(CoreStories.tasksStarted(s, "j-2")).isEqualTo(4);
+    assertThat(CoreStories.tasksStarted(s, "j-1")).isZero();
+  }
+
+  // ---------------------------------------------------------------- cancelling
+
+  @ParameterizedTest
+  @CsvSource({"0, 0", "1, 1", "2, 2", "0, 6", "1, 13"})
+  void aCancelledJobTakesAllWithItThatNeedIt(int which, double after) {
+    SimWorld w = world(405, 3);
+    w.lookClosely();
+    List<Rules.Known> jobs = chain(w, 4, 4);
+    w.loop.run(after);
+    String answer =
+        w.answer(which % 3, "GET", "/v1/jobs/" + jobs.get(which).id, null).path("stage").asText();
+    w.cancel(which % 3, jobs.get(which));
+    w.loop.run(1);
+    if (!answer.equals("done")) {
+      everywhere(
+          w, jobs.subList(which, 4), "cancelled"); // At once, whatever the owner has written.
+    }
+    w.loop.run(60);
+    everywhere(w, jobs.subList(0, which), "done");
+    for (Rules.Known j : jobs) {
+      assertThat(w.state.value(StateCodec.endKey(j.id))).isNotNull();
+    }
+    fine(w);
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void aCancellationThatMeetsTheEndEitherWinsForAllOrForNone(boolean ownerEnds) {
+    SimWorld w = world(406, 3);
+    w.lookClosely();
+    List<Rules.Known> jobs = chain(w, 3, 3);
+    w.rules.onComplete =
+        j -> {
+          if (j == jobs.get(0)) {
+            w.cancel(w.random.nextInt(3), j);
+            if (ownerEnds) {
+              int owner = w.owner();
+              w.crash(owner);
+              w.loop.after(0.5, () -> w.start(owner));
+            }
+          }
+        };
+    w.loop.run(70);
+    String stage = w.stage(0, jobs.get(0).id);
+    assertThat(stage).isIn("done", "cancelled");
+    everywhere(w, jobs, stage);
+  }
+
+  @Test
+  void aJobThatNamesACancelledOneIsAcceptedAndCancelled() {
+    SimWorld w = world(407, 3);
+    Rules.Known first = job(w, 0, 1, 30);
+    accept(w, 0, first);
+    w.loop.run(10);
+    w.cancel(1, first);
+    w.loop.run(0.2);
+    Rules.Known soon = job(w, 1, 1, 3, first);
+    accept(w, 2, soon);
+    everywhere(w, List.of(first, soon), "cancelled");
+    w.loop.run(20); // Only its final record is left.
+    Rules.Known late = job(w, 2, 1, 3, first);
+    accept(w, 0, late);
+    everywhere(w, List.of(first, soon, late), "cancelled");
+    w.loop.run(20);
+    assertThat(w.state.value(StateCodec.jobKey(late.id))).isNull();
+    assertThat(w.rules.starts).isEqualTo(1);
+  }
+
+  @Test
+  void aWideFanIsCancelledWithItsRootWhateverIsWritten() {
+    SimWorld w = world(408, 3);
+    Rules.Known root = job(w, 0, 1, 300);
+    accept(w, 0, root);
+    List<Rules.Known> fan = new ArrayList<>();
+    for (int i = 1; i < 80; i++) {
+      Rules.Known j = job(w, i, 1, 3, root);
+      fan.add(j);
+      w.submit(i % 3, j);
+    }
+    w.loop.run(15);
+    w.cancel(1, root);
+    w.loop.run(0.3);
+    everywhere(w, fan, "cancelled");
+    int before = w.state.requests;
+    w.loop.run(20);
+    assertThat(w.state.items.keySet()).noneMatch(k -> k.startsWith(StateCodec.JOBS));
+    assertThat(w.state.requests - before).isLessThan(600);
+    fine(w);
+  }
+
+  // ---------------------------------------------------------------- submissions
+
+  @Test
+  void namesAreCheckedAgainstTheStateServiceOnEveryNode() {
+    SimWorld w = world(409, 3);
+    Rules.Known first = job(w, 0, 1, 2);
+    Rules.Known service = w.job("j-000790", 1, 1, 0, false);
+    accept(w, 0, first);
+    accept(w, 0, service);
+    ObjectNode body = w.body(job(w, 1, 1, 2, first));
+    for (int i = 0; i < 3; i++) {
+      assertThat(http(w, i, named(body, "j-999999"))).isEqualTo(422);
+      assertThat(http(w, i, named(body, first.id, "j-999999"))).isEqualTo(422);
+      assertThat(http(w, i, named(body, service.id))).isEqualTo(422);
+      assertThat(http(w, i, named(body, "j-000701"))).isEqualTo(400); // Itself.
+      assertThat(http(w, i, named(body, "000700"))).isEqualTo(400);
+      assertThat(http(w, i, body.deepCopy().put("awaits", first.id))).isEqualTo(400);
+    }
+    w.loop.run(20);
+    assertThat(http(w, 1, named(body, first.id, first.id, "j-999999"))).isEqualTo(422);
+    assertThat(http(w, 1, named(body, first.id, first.id))).isEqualTo(201); // Long over.
+    assertThat(http(w, 2, named(body, "j-999999"))).isEqualTo(200); // A retry, whatever it names.
+    w.state.outage(true);
+    w.loop.run(5);
+    ObjectNode other = w.body(job(w, 2, 1, 2));
+    assertThat(http(w, 0, named(other, first.id))).isEqualTo(503);
+    w.state.outage(false);
+    w.loop.run(15);
+    assertThat(w.stage(0, "j-000701")).isEqualTo("done");
+    assertThat(w.stage(0, "j-000702")).isEmpty();
+  }
+
+  private static ObjectNode named(ObjectNode body, String... ids) {
+    ObjectNode n = body.deepCopy();
+    n.remove("awaits");
+    Arrays.asList(ids).forEach(id -> n.withArray("awaits").add(id));
+    return n;
+  }
+
+  @Test
+  void manyNamesWorkAndMoreThanARecordHoldsAreRefused() {
+    SimWorld w = new SimWorld(410, SimWorld.Shape.of(3), new Settings.StateLimits(200, 2, 4));
+    w.loop.run(3);
+    List<Rules.Known> over = new ArrayList<>();
+    for (int i = 0; i < 40; i++) {
+      over.add(job(w, i, 1, 1));
+      w.submit(i % 3, over.get(i));
+    }
+    w.loop.run(40);
+    everywhere(w, over, "done");
+    Rules.Known j = job(w, 90, 1, 2, over.toArray(new Rules.Known[0]));
+    accept(w, 0, j); // What is done need not be kept.
+    w.loop.run(20);
+    everywhere(w, List.of(j), "done");
+    ObjectNode body = w.body(job(w, 91, 1, 2));
+    w.answer(0, "POST", "/admin/claims/pause", null);
+    for (int i = 0; i < 180; i++) {
+      Rules.Known k = w.job(String.format("j-%06d", 8000 + i), 1, 1, 2, true);
+      w.submit(i % 3, k);
+      body.withArray("awaits").add(k.id);
+    }
+    w.loop.run(5);
+    assertThat(http(w, 1, body)).isEqualTo(400);
+    fine(w);
+  }
+
+  // ---------------------------------------------------------------- lower limits
+
+  @Test
+  void jobsOfBeforeAreFinishedWhenTheStateServiceAllowsLess() {
+    SimWorld w = new SimWorld(411, SimWorld.Shape.of(3).fleet(30, List.of("a", "b")));
+    w.cloud.capacity = 30;
+    w.loop.run(3);
+    Rules.Known old = w.job("j-000780", 300, 0.4, 6, true);
+    w.submit(0, old); // Slices of 500.
+    w.loop.run(14);
+    assertThat(w.rules.starts).isGreaterThan(100);
+    w.state.lower(2, 4);
+    Rules.Known young = w.job("j-000781", 30, 0.5, 6, true);
+    w.submit(1, young);
+    w.loop.run(30);
+    w.crash(w.owner());
+    w.loop.run(90);
+    assertThat(w.state.tooLarge).isLessThan(40);
+    assertThat(w.stage(w.owner(), young.id)).isEqualTo("done");
+    assertThat(w.stage(w.owner(), old.id)).isEqualTo("done");
+    fine(w);
+  }
+
+  @Test
+  void aNewVersionsRecordsFitTheLimitsToCome() {
+    SimWorld w =
+        new SimWorld(
+            412,
+            SimWorld.Shape.of(3).fleet(30, List.of("a", "b")),
+            new Settings.StateLimits(200, 2, 4));
+    w.cloud.capacity = 30;
+    w.loop.run(3);
+    Rules.Known j = w.job("j-000780", 300, 0.4, 6, true);
+    w.submit(0, j);
+    w.loop.run(14);
+    w.state.lower(2, 4);
+    w.loop.run(100);
+    assertThat(w.state.tooLarge).isZero();
+    assertThat(w.stage(0, j.id)).isEqualTo("done");
+    fine(w);
+  }
+
+  @Test
+  void aPackedSliceSaysTheSameInFewerBytes() {
+    int n = 500;
+    int[] attempts = new int[n];
+    String[] machines = new String[n];
+    long[] sessions = new long[n];
+    boolean[] done = new boolean[n];
+    for (int i = 0; i < n; i++) {
+      attempts[i] = 1 + i % 70;
+      done[i] = i % 3 == 0;
+      machines[i] = i % 3 == 1 ? "n-" + (100 + i % 20) : null;
+      sessions[i] = i % 3 == 1 ? 2 : 0;
+    }
+    SliceRecord r = new SliceRecord(attempts, machines, sessions, done);
+    byte[] plain = Json.write(StateCodec.slice(r));
+    byte[] packed = Json.write(StateCodec.slice(r.packedCopy()));
+    assertThat(packed.length).isLessThan(2048).isLessThan(plain.length / 2);
+    assertThat(StateCodec.slice(Json.read(packed))).isEqualTo(r);
+    assertThat(StateCodec.slice(Json.read(plain))).isEqualTo(r);
+  }
+
+  // ---------------------------------------------------------------- side by side
+
+  /** Records as the version before dependencies wrote them. */
+  @Test
+  void recordsOfTheVersionBeforeAreReadAsTheyWere() {
+    String job =
+        "{\"class\":\"batch\",\"team\":\"team\",\"kind\":\"ARRAY\",\"priority\":\"NORMAL\","
+            + "\"tasks\":3,\"cpus\":1.0,\"gpus\":0.0,\"mem\":1.0,\"image\":\"i\",\"imageGb\":1.0,"
+            + "\"oneZone\":false,\"spread\":false,\"spot\":true,\"estimate\":4.0,"
+            + "\"checkpoint\":0.0,\"save\":0.0,\"at\":1700000000000,\"cap\":500,\"stop\":true}";
+    JsonNode n = Json.read(job.getBytes(StandardCharsets.UTF_8));
+    JobSpec s = StateCodec.job("j-1", n);
+    assertThat(s.needs()).isEmpty();
+    assertThat(s.sliceCap()).isEqualTo(500);
+    assertThat(Json.write(StateCodec.job(s, true))).isEqualTo(job.getBytes(StandardCharsets.UTF_8));
+    JsonNode slice =
+        Json.read(
+            "{\"a\":[1,2,1],\"m\":[[\"n-000001\",3]],\"p\":[0,-1,-2]}"
+                .getBytes(StandardCharsets.UTF_8));
+    SliceRecord r = StateCodec.slice(slice);
+    assertThat(r.machine(0)).isEqualTo("n-000001");
+    assertThat(r.done(2)).isTrue();
+    assertThat(Json.write(StateCodec.slice(r))).isEqualTo(Json.write(slice));
+    assertThat(
+            graderelay.state.Cache.endOf(
+                Json.read("{\"end\":\"done\",\"tasks\":3}".getBytes(StandardCharsets.UTF_8))))
+        .isEqualTo(new graderelay.state.Cache.End(false, 3, 0));
+  }
+}
