Submissions that name known jobs cost no read

A job that the copy shows was accepted stays accepted, so only names that it lacks need a read; and the answer is cancelled if the copy says so of what is named, which lags by less than a cancellation may take, and is looked up if it does not.

--- a/src/main/java/graderelay/api/AdminApi.java
+++ b/src/main/java/graderelay/api/AdminApi.java
@@ -259,7 +259,7 @@
       done += s.record().doneCount();
       claimed += s.record().claimedCount();
     }
-    boolean stops = j.stop || Needs.cancelled(cache, j, new HashSet<>());
+    boolean stops = j.stop || Needs.cancelled(cache, j.spec, new HashSet<>());
     String stage = stops ? "stopping" : claimed > 0 ? "running" : "waiting";
     return Json.object()
         .put("id", j.spec.id())
--- a/src/main/java/graderelay/api/UserApi.java
+++ b/src/main/java/graderelay/api/UserApi.java
@@ -23,7 +23,9 @@
 import graderelay.wire.UserCodec;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
@@ -229,12 +231,7 @@
                   spec.cpus(),
                   spec.estimateS(),
                   spec.deadlineS());
-              if (spec.needs().isEmpty()) {
-                p.answer(201, UserCodec.stage(spec.id(), "pending"));
-              } else {
-                // It may be cancelled already, with a job that it names.
-                look(p, spec.id(), f -> p.answer(201, UserCodec.stage(spec.id(), f.stage())));
-              }
+              created(p, spec);
             }
             case CONFLICT -> known(p, spec);
             case NOT_EXECUTED -> overloaded(p, () -> create(p, spec));
@@ -243,6 +240,22 @@
         });
   }
 
+  /**
+   * It may be cancelled already, with a job that it names. That one was cancelled a moment ago if
+   * this node's copy doesn't say so, since it lags by little; only of ends that it never saw it has
+   * to ask.
+   */
+  private void created(Pending p, JobSpec spec) {
+    Set<String> unknown = new HashSet<>();
+    boolean cancelled = Needs.cancelled(cache, spec, unknown);
+    boolean fresh = loop.now() - cache.knownUntil() < Constants.FRESH_S;
+    if (cancelled || (fresh && unknown.isEmpty())) {
+      p.answer(201, UserCodec.stage(spec.id(), cancelled ? "cancelled" : "pending"));
+    } else {
+      look(p, spec.id(), f -> p.answer(201, UserCodec.stage(spec.id(), f.stage())));
+    }
+  }
+
   private void overloaded(Pending p, Runnable again) {
     if (stateAway()) {
       p.unavailable("the state service can't be reached");
@@ -281,23 +294,32 @@
       fit(p, spec);
       return;
     }
+    if (unknown(spec).isEmpty()) {
+      needed(p, spec, List.of()); // Accepted once is accepted, so the copy may lag.
+      return;
+    }
     cache.catchUp(
         ok -> {
-          if (!ok) {
+          if (ok) {
+            needs.find(unknown(spec), found -> needed(p, spec, found));
+          } else {
             overloaded(p, () -> admit(p, spec));
-            return;
           }
-          List<String> unknown = new ArrayList<>();
-          for (String id : spec.needs()) {
-            if (cache.job(id) == null && cache.end(id) == null) {
-              unknown.add(id);
-            }
-          }
-          needs.find(unknown, found -> needed(p, spec, unknown, found));
         });
   }
 
-  private void needed(Pending p, JobSpec spec, List<String> looked, List<Ends.Found> found) {
+  /** Named jobs of which this node has seen neither the record nor the end. */
+  private List<String> unknown(JobSpec spec) {
+    List<String> unknown = new ArrayList<>();
+    for (String id : spec.needs()) {
+      if (cache.job(id) == null && cache.end(id) == null) {
+        unknown.add(id);
+      }
+    }
+    return unknown;
+  }
+
+  private void needed(Pending p, JobSpec spec, List<Ends.Found> found) {
     if (found.contains(Ends.Found.FAILED)) {
       overloaded(p, () -> admit(p, spec));
       return;
--- a/src/main/java/graderelay/service/Constants.java
+++ b/src/main/java/graderelay/service/Constants.java
@@ -336,6 +336,9 @@
   /** Seconds between questions for the final record of a needed job that nobody has seen end. */
   public static final double FIND_ENDS_EVERY_S = 2;
 
+  /** Seconds by which a node's copy may lag when it is taken for what was told to users. */
+  public static final double FRESH_S = 3;
+
   /** Final records asked for at once. */
   public static final int MOST_FOUND = 200;
 
--- a/src/main/java/graderelay/state/Needs.java
+++ b/src/main/java/graderelay/state/Needs.java
@@ -1,5 +1,6 @@
 package graderelay.state;
 
+import graderelay.core.JobSpec;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -31,12 +32,12 @@
   }
 
   /** What this node's copy says; ids whose end it does not know are added to {@code unknown}. */
-  public static boolean cancelled(Cache cache, Cache.Entry e, Set<String> unknown) {
+  public static boolean cancelled(Cache cache, JobSpec job, Set<String> unknown) {
     Set<String> seen = new HashSet<>();
-    Deque<Cache.Entry> next = new ArrayDeque<>();
-    next.add(e);
+    Deque<JobSpec> next = new ArrayDeque<>();
+    next.add(job);
     while (!next.isEmpty()) {
-      for (String id : next.poll().spec.needs()) {
+      for (String id : next.poll().needs()) {
         if (!seen.add(id)) {
           continue;
         }
@@ -46,7 +47,7 @@
           return true;
         }
         if (end == null && live != null) {
-          next.add(live);
+          next.add(live.spec);
         } else if (end == null) {
           unknown.add(id);
         }
@@ -62,7 +63,7 @@
       return;
     }
     Set<String> unknown = new HashSet<>();
-    if (cancelled(cache, e, unknown)) {
+    if (cancelled(cache, e.spec, unknown)) {
       then.accept(Verdict.CANCELLED);
     } else if (unknown.isEmpty()) {
       then.accept(Verdict.NOT_CANCELLED);
@@ -74,7 +75,7 @@
 
   private Verdict after(Cache.Entry e) {
     Set<String> unknown = new HashSet<>();
-    boolean is = cancelled(cache, e, unknown);
+    boolean is = cancelled(cache, e.spec, unknown);
     return is ? Verdict.CANCELLED : unknown.isEmpty() ? Verdict.NOT_CANCELLED : Verdict.UNDECIDED;
   }
 
