--- a/src/main/java/graderelay/core/Dependencies.java
+++ b/src/main/java/graderelay/core/Dependencies.java
@@ -66,7 +66,7 @@
         }
         boolean sooner = by < n.neededBy;
         n.neededBy = Math.min(n.neededBy, by);
-        if (n.raise(d.priority()) | sooner) {
+        if (n.raise(d.wanted()) | sooner) {
           next.add(n);
         }
       }
@@ -126,6 +126,31 @@
     return all;
   }
 
+  /** Looks which of the needed jobs press; to be called now and then. */
+  void look(double now) {
+    for (String id : dependents.keySet()) {
+      Job j = world.jobs.get(id);
+      if (j != null) {
+        j.press(estimate.applyAsDouble(j.spec), now);
+      }
+    }
+  }
+
+  /** The same for those that a job which has just come needs, through all levels. */
+  void look(Job j, double now) {
+    Deque<Job> next = new ArrayDeque<>();
+    next.add(j);
+    while (!next.isEmpty()) {
+      for (String need : next.poll().needed) {
+        Job n = world.jobs.get(need);
+        if (n != null) {
+          n.press(estimate.applyAsDouble(n.spec), now);
+          next.add(n);
+        }
+      }
+    }
+  }
+
   /** True if somebody waits for this job. */
   boolean needed(String id) {
     return dependents.containsKey(id);
--- a/src/main/java/graderelay/core/Job.java
+++ b/src/main/java/graderelay/core/Job.java
@@ -1,5 +1,6 @@
 package graderelay.core;
 
+import graderelay.service.Constants;
 import java.util.BitSet;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -134,13 +135,36 @@
   /** When it has to be done for those that need it to be in time, or infinite. */
   double neededBy = Double.POSITIVE_INFINITY;
 
+  /**
+   * What its place in the queue goes by. What only others make urgent waits with ordinary work
+   * while there is time, and goes before it when they would be late.
+   */
   Priority priority() {
+    if (pressing || !priority.beats(spec.priority())) {
+      return priority;
+    }
+    boolean low = Priority.NORMAL.beats(spec.priority());
+    return low && !Priority.NORMAL.beats(priority) ? Priority.NORMAL : spec.priority();
+  }
+
+  /** The priority of the most urgent job that needs it, or its own, whether or not it presses. */
+  Priority wanted() {
     return priority;
   }
 
+  /** The jobs that need it would be late if it waited with ordinary work. */
+  boolean pressing;
+
+  /** Looks how much time is left, given how long a task of it takes. */
+  void press(double estimateS, double now) {
+    pressing =
+        neededBy == Double.POSITIVE_INFINITY
+            || neededBy - now < Constants.PRESSING_RUNS * estimateS + Constants.PRESSING_S;
+  }
+
   /** A job that needs it has this priority; claims that stand keep theirs. */
   boolean raise(Priority other) {
-    boolean raised = other.beats(priority);
+    boolean raised = other.beats(priority); // Whether or not it presses now.
     priority = raised ? other : priority;
     return raised;
   }
--- a/src/main/java/graderelay/core/Scheduler.java
+++ b/src/main/java/graderelay/core/Scheduler.java
@@ -89,6 +89,7 @@
         planner.onArrival(spec, submittedAt);
       }
       world.dependencies.added(j).forEach(d -> cancelWithNeeded(d, now));
+      world.dependencies.look(j, now);
       // Slices that came first, while the job's own record had not been seen yet.
       ledger.jobCame(spec.id());
     } else if (mark > j.mark) {
@@ -328,6 +329,7 @@
     }
     if (now - lastPlan >= Constants.PLAN_EVERY_S && !world.loading) {
       lastPlan = now;
+      world.dependencies.look(now);
       planner.plan(now);
       placer.planned(planner.steppingBack(), planner.atLeisure());
     }
--- a/src/main/java/graderelay/service/Constants.java
+++ b/src/main/java/graderelay/service/Constants.java
@@ -339,6 +339,11 @@
   /** Seconds by which a node's copy may lag when it is taken for what was told to users. */
   public static final double FRESH_S = 3;
 
+  /** Run times and seconds left before it is needed when a job goes by the priority of others. */
+  public static final double PRESSING_RUNS = 2;
+
+  public static final double PRESSING_S = 20;
+
   /** Final records asked for at once. */
   public static final int MOST_FOUND = 200;
 
