--- a/src/test/java/graderelay/PipelinesTest.java
+++ b/src/test/java/graderelay/PipelinesTest.java
@@ -11,11 +11,14 @@
 import graderelay.core.Priority;
 import graderelay.core.Scheduler;
 import graderelay.core.SliceRecord;
+import graderelay.net.Exchange;
 import graderelay.service.Settings;
 import graderelay.sim.Rules;
 import graderelay.sim.SimWorld;
+import graderelay.wire.BadRequest;
 import graderelay.wire.Json;
 import graderelay.wire.StateCodec;
+import graderelay.wire.UserCodec;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -378,22 +381,55 @@
 
   // ---------------------------------------------------------------- lower limits
 
-  @Test
-  void jobsOfBeforeAreFinishedWhenTheStateServiceAllowsLess() {
-    SimWorld w = new SimWorld(411, SimWorld.Shape.of(3).fleet(30, List.of("a", "b")));
-    w.cloud.capacity = 30;
+  /** A job as the version before accepted it, with slices that fit the limits of its time. */
+  private static void acceptedBefore(SimWorld w, Rules.Known j) {
+    JobSpec spec;
+    try {
+      spec =
+          UserCodec.submission(w.body(j), (long) (w.loop.now() * 1000) + 1_700_000_000_000L, 500);
+    } catch (BadRequest e) {
+      throw new AssertionError(e);
+    }
+    ObjectNode txn = Json.object();
+    txn.putArray("if").addObject().put("key", StateCodec.jobKey(j.id)).put("mark", 0);
+    txn.putArray("then")
+        .addObject()
+        .put("put", StateCodec.jobKey(j.id))
+        .set("data", StateCodec.job(spec, false));
+    w.state.handle(new Exchange("POST", "/multi", "", Json.write(txn), a -> {}));
+    j.accepted = true;
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "300, 0.4, 8, false",
+    "500, 0.2, 26, false",
+    "500, 0.2, 26, true",
+    "500, 0.5, 60, true"
+  })
+  void jobsOfBeforeAreFinishedWhenTheStateServiceAllowsLess(
+      int tasks, double cpus, int machines, boolean ownerEnds) {
+    SimWorld w =
+        new SimWorld(
+            411,
+            SimWorld.Shape.of(3).fleet(machines, List.of("a", "b")),
+            new Settings.StateLimits(200, 2, 4));
+    w.cloud.capacity = machines;
     w.loop.run(3);
-    Rules.Known old = w.job("j-000780", 300, 0.4, 6, true);
-    w.submit(0, old); // Slices of 500.
-    w.loop.run(14);
-    assertThat(w.rules.starts).isGreaterThan(100);
+    Rules.Known old = w.job("j-000780", tasks, cpus, 12, true);
+    acceptedBefore(w, old);
+    w.loop.run(16);
+    assertThat(w.rules.starts).isGreaterThan(50);
     w.state.lower(2, 4);
     Rules.Known young = w.job("j-000781", 30, 0.5, 6, true);
     w.submit(1, young);
-    w.loop.run(30);
-    w.crash(w.owner());
-    w.loop.run(90);
-    assertThat(w.state.tooLarge).isLessThan(40);
+    w.loop.run(4);
+    if (ownerEnds) {
+      w.crash(w.owner());
+    }
+    w.loop.run(150);
+    // Each owner has to find it out; slices of 300 fit as they are.
+    assertThat(w.state.tooLarge).isBetween(tasks > 300 ? 1 : 0, 20);
     assertThat(w.stage(w.owner(), young.id)).isEqualTo("done");
     assertThat(w.stage(w.owner(), old.id)).isEqualTo("done");
     fine(w);
