--- a/src/test/java/graderelay/MeetingsTest.java
+++ b/src/test/java/graderelay/MeetingsTest.java
@@ -27,7 +27,13 @@
   }
 
   private static SimWorld oneZone(long seed, int size) {
-    SimWorld w = new SimWorld(seed, SimWorld.Shape.of(size).fleet(8, ONE_ZONE));
+    return zoned(seed, size, "a");
+  }
+
+  /** A world whose zones have these letters for names. */
+  private static SimWorld zoned(long seed, int size, String zones) {
+    List<String> names = List.of(zones.split("(?<=.)"));
+    SimWorld w = new SimWorld(seed, SimWorld.Shape.of(size).fleet(8, names));
     w.loop.run(3);
     return w;
   }
@@ -62,9 +68,7 @@
   })
   void aCancellationThatTheOwnerCouldNotReadIsCarriedOutThroughAnOutageForAll(
       int size, String zones, double cancelAfter, double outageAfter, double length) {
-    SimWorld w =
-        new SimWorld(301, SimWorld.Shape.of(size).fleet(8, List.of(zones.split("(?<=.)"))));
-    w.loop.run(3);
+    SimWorld w = zoned(301, size, zones);
     Rules.Known[] jobs = running(w, 3);
     int owner = w.owner();
     refuse(w, owner, size > 1);
@@ -85,9 +89,7 @@
   @ParameterizedTest
   @CsvSource({"3, ab", "3, a", "5, ab", "5, a"})
   void theTasksOfAJobCancelledAtAnotherControllerAreStoppedWithinTheOutage(int size, String zones) {
-    SimWorld w =
-        new SimWorld(302, SimWorld.Shape.of(size).fleet(8, List.of(zones.split("(?<=.)"))));
-    w.loop.run(3);
+    SimWorld w = zoned(302, size, zones);
     Rules.Known[] jobs = running(w, 2);
     int owner = w.owner();
     refuse(w, owner, true);
@@ -115,8 +117,7 @@
   @CsvSource({"a, 0.05, -1", "ab, 0.05, -1", "a, 0.05, 2", "ab, 1, 8", "a, 1, 0.2"})
   void aGatewayThatEndsRightAfterConfirmingTakesItsKnowledgeWithIt(
       String zones, double endsAfter, double backAfter) {
-    SimWorld w = new SimWorld(303, SimWorld.Shape.of(3).fleet(8, List.of(zones.split("(?<=.)"))));
-    w.loop.run(3);
+    SimWorld w = zoned(303, 3, zones);
     Rules.Known[] jobs = running(w, 2);
     int owner = w.owner();
     int gateway = other(w, owner);
