What a cancelled job takes with it is worked out once; needed jobs are looked at once each

cancelled() and cancelledWith() walked the same jobs, one of them with a search of its own list for each. The look at the jobs that a new one needs visited a job once for each path to it, which doubles with each level of a pipeline whose stages all need both jobs before them.

--- a/src/main/java/graderelay/core/Dependencies.java
+++ b/src/main/java/graderelay/core/Dependencies.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -49,7 +50,7 @@
       press(d);
     }
     press(j);
-    return cancelled && !j.stop ? withDependents(j) : List.of();
+    return cancelled ? withDependents(Set.of(j)) : List.of();
   }
 
   /** Priority and deadline of a job act on those that it needs, through all levels. */
@@ -73,11 +74,10 @@
     }
   }
 
-  /** The job and all that need it, directly or through others, that are not stopped yet. */
-  private List<Job> withDependents(Job first) {
+  /** These jobs and all that need them, directly or through others, that are not stopped yet. */
+  private List<Job> withDependents(Set<Job> first) {
     Set<Job> all = new LinkedHashSet<>();
-    Deque<Job> next = new ArrayDeque<>();
-    next.add(first);
+    Deque<Job> next = new ArrayDeque<>(first);
     while (!next.isEmpty()) {
       Job j = next.poll();
       if (!j.stop && all.add(j)) {
@@ -88,16 +88,8 @@
   }
 
   /** A job was cancelled: those that are cancelled with it. */
-  List<Job> cancelledWith(Job j) {
-    List<Job> all = new ArrayList<>();
-    for (Job d : dependents.getOrDefault(j.spec.id(), Set.of())) {
-      for (Job each : withDependents(d)) {
-        if (!all.contains(each)) {
-          all.add(each);
-        }
-      }
-    }
-    return all;
+  List<Job> cancelledWith(String id) {
+    return withDependents(dependents.getOrDefault(id, Set.of()));
   }
 
   /** A job's final record says that it is done. Returns the jobs that wait for no other. */
@@ -118,11 +110,8 @@
   /** A job's final record says that it is cancelled. Returns the jobs that are so with it. */
   List<Job> cancelled(String id) {
     missing.remove(id);
-    List<Job> all = new ArrayList<>();
-    Set<Job> waiting = dependents.remove(id);
-    for (Job d : waiting == null ? Set.<Job>of() : waiting) {
-      all.addAll(withDependents(d));
-    }
+    List<Job> all = cancelledWith(id);
+    dependents.remove(id);
     return all;
   }
 
@@ -136,14 +125,15 @@
     }
   }
 
-  /** The same for those that a job which has just come needs, through all levels. */
+  /** The same for those that a job which has just come needs, each once, through all levels. */
   void look(Job j, double now) {
+    Set<Job> seen = new HashSet<>();
     Deque<Job> next = new ArrayDeque<>();
     next.add(j);
     while (!next.isEmpty()) {
       for (String need : next.poll().needed) {
         Job n = world.jobs.get(need);
-        if (n != null) {
+        if (n != null && seen.add(n)) {
           n.press(estimate.applyAsDouble(n.spec), now);
           next.add(n);
         }
--- a/src/main/java/graderelay/core/Scheduler.java
+++ b/src/main/java/graderelay/core/Scheduler.java
@@ -123,7 +123,7 @@
     world.stopped.add(j);
     world.maybeOver.add(j);
     orders.stopClaims(j, now);
-    world.dependencies.cancelledWith(j).forEach(d -> cancelWithNeeded(d, now));
+    world.dependencies.cancelledWith(j.spec.id()).forEach(d -> cancelWithNeeded(d, now));
   }
 
   /** It needs a job that is cancelled. Nothing of it was ever claimed: its record only ends. */
