--- /dev/null
+++ b/src/test/java/graderelay/sim/ProductionVersion.java
@@ -0,0 +1,87 @@
+package graderelay.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import graderelay.net.Exchange;
+import graderelay.net.Reply;
+import graderelay.net.Transport;
+import graderelay.wire.Json;
+import graderelay.wire.StateCodec;
+
+/**
+ * Makes a controller behave as the version in production does where the present one differs: it
+ * neither reads nor writes the fields that it doesn't know, so that it drops them from every record
+ * that it rewrites, and it can't read packed slices. Which fields it knows is what {@code
+ * ProductionFormatsTest} checks against that version's own bytes.
+ */
+final class ProductionVersion {
+  private final Rules rules;
+
+  ProductionVersion(Rules rules) {
+    this.rules = rules;
+  }
+
+  /** A user's request as this version understands it. */
+  static Exchange request(Exchange e) {
+    JsonNode body = e.body().length == 0 ? null : Json.read(e.body());
+    if (body instanceof ObjectNode submission && submission.has("awaits")) {
+      submission.remove("awaits");
+      return new Exchange(e.method(), e.path(), e.query(), Json.write(submission), e.to());
+    }
+    return e;
+  }
+
+  /** The way to the outside, on which the state service's records are those of this version. */
+  Transport transport(Transport outside, String stateAddress) {
+    return (address, method, path, body, timeoutS, done) -> {
+      if (!address.equals(stateAddress)) {
+        outside.call(address, method, path, body, timeoutS, done);
+        return;
+      }
+      outside.call(
+          address, method, path, written(body), timeoutS, reply -> done.accept(read(path, reply)));
+    };
+  }
+
+  private byte[] written(byte[] body) {
+    JsonNode transaction = body == null ? null : Json.read(body);
+    if (transaction == null || !transaction.has("then")) {
+      return body;
+    }
+    for (JsonNode change : transaction.get("then")) {
+      forget(change.path("put").asText(), change.path("data"));
+    }
+    return Json.write(transaction);
+  }
+
+  private Reply read(String path, Reply reply) {
+    JsonNode answer = reply.body().length == 0 ? null : Json.read(reply.body());
+    if (answer == null) {
+      return reply;
+    }
+    for (JsonNode item : answer.path("items")) {
+      forget(item.path("key").asText(), item.path("data"));
+    }
+    for (JsonNode change : answer.path("news")) {
+      forget(change.path("put").asText(), change.path("data"));
+    }
+    if (path.startsWith("/store/")) {
+      forget(answer.path("key").asText(), answer.path("data"));
+    }
+    return new Reply(reply.status(), Json.write(answer), reply.sent());
+  }
+
+  /** Takes out of a record what this version doesn't know. */
+  private void forget(String key, JsonNode value) {
+    if (!(value instanceof ObjectNode record)) {
+      return;
+    }
+    if (key.startsWith(StateCodec.JOBS)) {
+      record.remove("needs");
+    } else if (key.startsWith(StateCodec.ENDS)) {
+      record.remove("at");
+    } else if (key.startsWith(StateCodec.SLICES) && !record.has("done") && !record.has("a")) {
+      rules.unreadable(key);
+    }
+  }
+}
--- a/src/test/java/graderelay/sim/Rules.java
+++ b/src/test/java/graderelay/sim/Rules.java
@@ -250,6 +250,11 @@
     }
   }
 
+  /** A controller of the version in production met a record that it can't read. */
+  void unreadable(String key) {
+    breaks("unreadable for the version in production: " + key);
+  }
+
   /** What a user was told about a job that nobody submitted. */
   public void toldOfNobodys(String id, int status) {
     if (status == 200) {
--- a/src/test/java/graderelay/sim/SimWorld.java
+++ b/src/test/java/graderelay/sim/SimWorld.java
@@ -10,6 +10,7 @@
 import graderelay.service.Settings;
 import graderelay.wire.Json;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -60,6 +61,10 @@
   public final int size;
   public final Node[] nodes;
   public final boolean[][] refused;
+
+  /** Which controllers start as the version in production, and not as the present one. */
+  private final boolean[] production;
+
   private final boolean[][] dead;
   private final String[] apis;
   private final Transport users;
@@ -78,10 +83,21 @@
   }
 
   public SimWorld(long seed, Shape shape, Settings.StateLimits next) {
+    this(seed, shape, next, false);
+  }
+
+  /** A world whose controllers are of the version in production, until they are replaced. */
+  public static SimWorld inProduction(long seed, Shape shape, Settings.StateLimits next) {
+    return new SimWorld(seed, shape, next, true);
+  }
+
+  private SimWorld(long seed, Shape shape, Settings.StateLimits next, boolean inProduction) {
     this.next = next;
     this.shape = shape;
     this.size = shape.size();
     nodes = new Node[size];
+    production = new boolean[size];
+    Arrays.fill(production, inProduction);
     refused = new boolean[size][1];
     dead = new boolean[size][];
     apis = new String[size];
@@ -150,18 +166,30 @@
         3,
         0.34,
         900,
-        next);
+        production[i] ? SAME : next); // The version in production does not know them.
+  }
+
+  /** From its next start on a controller is of the present version. */
+  public void replace(int i) {
+    production[i] = false;
   }
 
   public void start(int i) {
     boolean[] over = {false};
     dead[i] = over;
     double drift = (random.nextDouble() - 0.5) * 0.001;
+    Transport outside = net.from("c" + i, over);
+    ProductionVersion old = production[i] ? new ProductionVersion(rules) : null;
     Node n =
-        new Node(loop.process(drift, over), net.from("c" + i, over), settings(i), random.split());
+        new Node(
+            loop.process(drift, over),
+            old == null ? outside : old.transport(outside, "state" + i + ":1"),
+            settings(i),
+            random.split());
     nodes[i] = n;
     net.stands("c" + i, zoneOf(i));
-    net.listen(apis[i], "c" + i, e -> deliver(over, e, n::handle));
+    Exchange.Handler users = old == null ? n::handle : e -> n.handle(ProductionVersion.request(e));
+    net.listen(apis[i], "c" + i, e -> deliver(over, e, users));
     net.listen("c" + i + ":81", "c" + i, e -> deliver(over, e, n::handleMesh));
     n.start();
   }
