--- /dev/null
+++ b/src/test/java/graderelay/DependencyGuardsTest.java
@@ -0,0 +1,107 @@
+package graderelay;
+
+import static graderelay.StoryWords.fine;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import graderelay.core.Action;
+import graderelay.core.JobSpec;
+import graderelay.core.Priority;
+import graderelay.core.Scheduler;
+import graderelay.sim.RandomDay;
+import graderelay.sim.Rules;
+import graderelay.sim.SimWorld;
+import graderelay.wire.Json;
+import graderelay.wire.StateCodec;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards of dependencies and of the lower limits that no story of a whole pipeline misses. */
+class DependencyGuardsTest {
+  private static final String CANCELLED = "j-000001";
+  private static final String DEPENDENT = "j-000002";
+  private static final String OTHER = "j-000003";
+
+  /**
+   * The leader ends dependents at once. The cancelled job's own end has to wait for the proof that
+   * its tasks are gone, which a machine that hangs puts off, and nothing of theirs ever ran.
+   */
+  @Test
+  void dependentsOfACancelledJobEndWhileItsOwnTasksCannotBeProvenGone() {
+    Scheduler scheduler = CoreStories.scheduler(1);
+    CoreStories.machine(scheduler, "n-1", 1, 1, 0);
+    scheduler.onJob(CoreStories.array(CANCELLED, 1), false, 5, 0, 0);
+    JobSpec dependent = CoreStories.array(DEPENDENT, 1);
+    scheduler.onJob(dependent.needing(List.of(CANCELLED)), false, 6, 0, 0);
+    CoreStories.commitAll(scheduler, 10, 0.1);
+    assertThat(CoreStories.claimsOf(scheduler, "n-1")).isEqualTo(1);
+    scheduler.onJob(CoreStories.array(CANCELLED, 1), true, 11, 0, 1); // The machine says nothing.
+    scheduler.step(1.2);
+    assertThat(ends(scheduler)).containsExactly(DEPENDENT);
+  }
+
+  private static List<String> ends(Scheduler scheduler) {
+    return CoreStories.taken(scheduler).stream()
+        .filter(action -> action instanceof Action.Write)
+        .flatMap(action -> ((Action.Write) action).ends().stream())
+        .map(Action.JobEnd::job)
+        .toList();
+  }
+
+  /**
+   * A dependent's waiting time counts from the end of the last job that it needed, also for a new
+   * leader, which knows it from the final record alone: a dependent that has just become ready does
+   * not pass what has waited for longer, and one that became ready long ago does.
+   */
+  @ParameterizedTest
+  @CsvSource({"false, 290, false", "false, 100, true", "true, 290, false", "true, 100, true"})
+  void aDependentsTimesCountFromWhenItCouldBegin(
+      boolean takeover, double readyAt, boolean passesOthers) {
+    Scheduler scheduler = CoreStories.takingOver(1);
+    JobSpec dependent = CoreStories.array(DEPENDENT, 4).needing(List.of(CANCELLED));
+    JobSpec other = CoreStories.ranked(OTHER, Priority.NORMAL, 4, null);
+    if (takeover) {
+      scheduler.onJob(dependent, false, 6, 0, 300);
+      scheduler.onJob(other, false, 7, 250, 300);
+      scheduler.loaded(300);
+      scheduler.onEnd(CANCELLED, false, readyAt, 300);
+    } else {
+      scheduler.loaded(0);
+      scheduler.onJob(CoreStories.array(CANCELLED, 1), false, 5, 0, 0);
+      scheduler.onJob(dependent, false, 6, 0, 0);
+      scheduler.onEnd(CANCELLED, false, readyAt, readyAt);
+      scheduler.onJobGone(CANCELLED, readyAt);
+      scheduler.onJob(other, false, 7, 250, 300);
+    }
+    CoreStories.machine(scheduler, "n-1", 1, 1, 300); // Room for four.
+    CoreStories.commitAll(scheduler, 10, 300.1);
+    assertThat(CoreStories.tasksStarted(scheduler, DEPENDENT)).isEqualTo(passesOthers ? 4 : 0);
+    assertThat(CoreStories.tasksStarted(scheduler, OTHER)).isEqualTo(passesOthers ? 0 : 4);
+  }
+
+  /** Slices of new jobs fit the limits to come in the form that the version in production reads. */
+  @Test
+  void slicesOfNewJobsFitTheLowerLimitsInThePlainForm() {
+    SimWorld world =
+        new SimWorld(431, SimWorld.Shape.of(3).fleet(30, List.of("a", "b")), RandomDay.LOWER);
+    world.loop.run(3);
+    Rules.Known job = world.job("j-000780", 900, 0.2, 6, true);
+    world.submit(0, job);
+    int plain = 0;
+    for (int i = 0; i < 200; i++) {
+      world.loop.run(0.2);
+      for (var item : world.state.items.tailMap(StateCodec.SLICES).entrySet()) {
+        if (item.getKey().startsWith(StateCodec.SLICES)) {
+          JsonNode slice = item.getValue().value();
+          assertThat(Json.write(slice).length).isLessThanOrEqualTo(RandomDay.LOWER.valueBytes());
+          assertThat(slice.has("a") || slice.has("done")).as("plain").isTrue();
+          plain += slice.has("a") ? 1 : 0;
+        }
+      }
+    }
+    assertThat(plain).isPositive();
+    fine(world);
+  }
+}
