--- a/src/main/java/graderelay/api/UserApi.java
+++ b/src/main/java/graderelay/api/UserApi.java
@@ -345,10 +345,15 @@
 
   /** The record has to fit a value, also when the state service's limits have become smaller. */
   private void fit(Pending p, JobSpec spec) {
-    if (Json.write(StateCodec.job(spec, true)).length > settings.least().valueBytes()) {
-      refuseUnlessKnown(p, spec, 400, "the job names too many types, or jobs that are not over");
-    } else {
+    int most = settings.least().valueBytes();
+    if (Json.write(StateCodec.job(spec, true)).length <= most) {
       create(p, spec);
+    } else if (Json.write(StateCodec.job(spec.needing(List.of()), true)).length <= most) {
+      int open = spec.needs().size();
+      refuseUnlessKnown(
+          p, spec, 400, "awaits names " + open + " jobs that are not over, more than a job may");
+    } else {
+      refuseUnlessKnown(p, spec, 400, "rigs names more machine types than a job may");
     }
   }
 
--- a/src/main/java/graderelay/wire/UserCodec.java
+++ b/src/main/java/graderelay/wire/UserCodec.java
@@ -79,7 +79,7 @@
         throw new BadRequest("awaits must hold ids like j-000412");
       }
       if (need.textValue().equals(id)) {
-        throw new BadRequest("a job can't wait for itself");
+        throw new BadRequest("awaits must not name the job itself");
       }
       needs.add(need.textValue());
     }
--- /dev/null
+++ b/src/test/java/graderelay/BadDependenciesTest.java
@@ -0,0 +1,204 @@
+package graderelay;
+
+import static graderelay.StoryWords.fine;
+import static graderelay.StoryWords.world;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import graderelay.service.Constants;
+import graderelay.sim.RandomDay;
+import graderelay.sim.Rules;
+import graderelay.sim.SimWorld;
+import graderelay.wire.Json;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** What a submission may name as its dependencies, at every controller in every state. */
+class BadDependenciesTest {
+  private static final String OWN_ID = "j-000700";
+  private static final String NEVER_ACCEPTED = "j-999999";
+
+  /** The state of the controller that is asked. */
+  private enum Asked {
+    LEADER,
+    FOLLOWER,
+    JUST_STARTED,
+    IN_AN_OUTAGE,
+    REFUSED_ALONE
+  }
+
+  /** A world with an array that is done, one that runs and a service. */
+  private static final class Jobs {
+    final SimWorld world = world(451, 3);
+    final Rules.Known over = world.job("j-000601", 1, 1, 1, true);
+    final Rules.Known live = world.job("j-000602", 1, 1, 500, true);
+    final Rules.Known service = world.job("j-000603", 1, 1, 0, false);
+
+    Jobs() {
+      List.of(over, live, service).forEach(job -> world.submit(0, job));
+      world.loop.run(30);
+      assertThat(world.stage(1, over.id)).isEqualTo("done");
+      assertThat(world.stage(1, live.id)).isEqualTo("running");
+    }
+
+    /** Brings a controller into that state and returns which it is. */
+    int bring(Asked how) {
+      int leader = world.owner();
+      int follower = (leader + 1) % world.size;
+      switch (how) {
+        case JUST_STARTED -> {
+          world.crash(follower);
+          world.start(follower);
+        }
+        case IN_AN_OUTAGE -> {
+          world.state.outage(true);
+          world.loop.run(5);
+        }
+        case REFUSED_ALONE -> {
+          world.refused[follower][0] = true;
+          world.loop.run(2);
+        }
+        default -> {}
+      }
+      return how == Asked.LEADER ? leader : follower;
+    }
+
+    ObjectNode submission(String names) {
+      ObjectNode body = world.body(world.job(OWN_ID, 1, 1, 2, true));
+      body.set("awaits", Json.read(names.getBytes(java.nio.charset.StandardCharsets.UTF_8)));
+      return body;
+    }
+
+    JsonNode submit(int node, ObjectNode body) {
+      return world.answer(node, "POST", "/v1/jobs", Json.write(body));
+    }
+  }
+
+  private static void assertRefused(JsonNode answer, int status, String... words) {
+    assertThat(answer.path("http").asInt()).as(answer.toString()).isEqualTo(status);
+    assertThat(answer.path("error").asText()).contains("awaits").contains(words);
+  }
+
+  @ParameterizedTest
+  @EnumSource(Asked.class)
+  void aListThatIsMalformedIsRefusedInEveryState(Asked how) {
+    Jobs jobs = new Jobs();
+    int node = jobs.bring(how);
+    assertRefused(jobs.submit(node, jobs.submission("\"j-000601\"")), 400, "list");
+    assertRefused(jobs.submit(node, jobs.submission("{\"0\":\"j-000601\"}")), 400, "list");
+    assertRefused(jobs.submit(node, jobs.submission("7")), 400, "list");
+    assertRefused(jobs.submit(node, jobs.submission("[601]")), 400, "ids like");
+    assertRefused(jobs.submit(node, jobs.submission("[null]")), 400, "ids like");
+    assertRefused(jobs.submit(node, jobs.submission("[[\"j-000601\"]]")), 400, "ids like");
+    assertRefused(jobs.submit(node, jobs.submission("[\"\"]")), 400, "ids like");
+    assertRefused(jobs.submit(node, jobs.submission("[\"j-000601 \"]")), 400, "ids like");
+    assertRefused(jobs.submit(node, jobs.submission("[\"g/job/1\"]")), 400, "ids like");
+    assertRefused(jobs.submit(node, jobs.submission("[\"" + OWN_ID + "\"]")), 400, "itself");
+    fine(jobs.world);
+  }
+
+  @ParameterizedTest
+  @EnumSource(Asked.class)
+  void whatWasNeverAcceptedOrNeverEndsIsRefusedOrPutOff(Asked how) {
+    Jobs jobs = new Jobs();
+    int node = jobs.bring(how);
+    boolean undecidable = how == Asked.IN_AN_OUTAGE || how == Asked.JUST_STARTED;
+    for (String names :
+        List.of(
+            "[\"" + NEVER_ACCEPTED + "\"]",
+            "[\"" + jobs.over.id + "\",\"" + NEVER_ACCEPTED + "\"]",
+            "[\"" + jobs.service.id + "\"]")) {
+      JsonNode answer = jobs.submit(node, jobs.submission(names));
+      int status = answer.path("http").asInt();
+      if (undecidable) {
+        assertThat(status).as(names).isIn(422, 503);
+      } else {
+        assertThat(status).as(names).isEqualTo(422);
+      }
+      assertThat(answer.path("error").asText()).isNotEmpty();
+      if (status == 422) {
+        assertThat(answer.path("error").asText()).contains("awaits").contains("j-");
+      }
+    }
+    jobs.world.state.outage(false);
+    jobs.world.loop.run(20);
+    assertThat(jobs.world.stage(node, OWN_ID)).isEmpty();
+    fine(jobs.world);
+  }
+
+  @ParameterizedTest
+  @EnumSource(Asked.class)
+  void namesTwiceAndOfJobsLongOverAreTakenWhereverItCanBeDecided(Asked how) {
+    Jobs jobs = new Jobs();
+    int node = jobs.bring(how);
+    String twice = "[\"" + jobs.over.id + "\",\"" + jobs.over.id + "\"]";
+    ObjectNode body = jobs.submission(twice);
+    int status = jobs.submit(node, body).path("http").asInt();
+    if (how == Asked.IN_AN_OUTAGE || how == Asked.JUST_STARTED) {
+      assertThat(status).isIn(201, 503);
+    } else {
+      assertThat(status).isEqualTo(201);
+    }
+    jobs.world.state.outage(false);
+    jobs.world.loop.run(20);
+    assertThat(jobs.submit(node, body).path("http").asInt()).isIn(200, 201);
+    jobs.world.loop.run(20);
+    assertThat(jobs.world.stage(node, OWN_ID)).isEqualTo("done");
+    fine(jobs.world);
+  }
+
+  @ParameterizedTest
+  @EnumSource(Asked.class)
+  void aRetryOfAnAcceptedSubmissionIsNeverRefused(Asked how) {
+    Jobs jobs = new Jobs();
+    ObjectNode body = jobs.submission("[\"" + jobs.live.id + "\"]");
+    assertThat(jobs.submit(0, body).path("http").asInt()).isEqualTo(201);
+    jobs.world.cancel(1, jobs.live);
+    jobs.world.loop.run(20);
+    int node = jobs.bring(how);
+    int status = jobs.submit(node, body).path("http").asInt();
+    assertThat(status).isIn(200, 503);
+    if (how == Asked.LEADER || how == Asked.FOLLOWER || how == Asked.REFUSED_ALONE) {
+      assertThat(status).isEqualTo(200);
+    }
+    jobs.world.state.outage(false);
+    jobs.world.loop.run(20);
+    JsonNode later = jobs.submit(node, body);
+    assertThat(later.path("http").asInt()).isEqualTo(200);
+    assertThat(later.path("stage").asText()).isEqualTo("cancelled");
+    fine(jobs.world);
+  }
+
+  @Test
+  void moreNamesThanASubmissionMayHaveAreRefusedWithTheLimit() {
+    Jobs jobs = new Jobs();
+    ObjectNode body = jobs.submission("[]");
+    for (int i = 0; i <= Constants.MOST_NEEDS; i++) {
+      body.withArray("awaits").add(jobs.over.id);
+    }
+    assertRefused(jobs.submit(1, body), 400, String.valueOf(Constants.MOST_NEEDS));
+    fine(jobs.world);
+  }
+
+  /** What is done need not be kept; of what is not over yet, a record holds only so many names. */
+  @Test
+  void moreLiveJobsThanARecordHoldsAreRefusedWithTheReason() {
+    SimWorld w = new SimWorld(452, SimWorld.Shape.of(3), RandomDay.LOWER);
+    w.loop.run(3);
+    w.answer(0, "POST", "/admin/claims/pause", null);
+    ObjectNode body = w.body(w.job(OWN_ID, 1, 1, 2, true));
+    for (int i = 0; i < 180; i++) {
+      Rules.Known k = w.job(String.format("j-%06d", 8000 + i), 1, 1, 2, true);
+      w.submit(i % 3, k);
+      body.withArray("awaits").add(k.id);
+    }
+    w.loop.run(10);
+    for (int i = 0; i < w.size; i++) {
+      assertRefused(w.answer(i, "POST", "/v1/jobs", Json.write(body)), 400, "not over");
+    }
+    fine(w);
+  }
+}
