--- a/src/main/java/graderelay/api/UserApi.java
+++ b/src/main/java/graderelay/api/UserApi.java
@@ -329,11 +329,13 @@
       Cache.Entry live = cache.job(id);
       Cache.End end = cache.end(id);
       if (live == null && end == null) {
-        refuseUnlessKnown(p, spec, 422, "awaits names " + id + ", which was never accepted");
+        refuseUnlessKnown(
+            p, spec, 422, UserCodec.NEEDS + " names " + id + ", which was never accepted");
         return;
       }
       if (live != null && live.spec.isService()) {
-        refuseUnlessKnown(p, spec, 422, "awaits names " + id + ", a service, which is never done");
+        refuseUnlessKnown(
+            p, spec, 422, UserCodec.NEEDS + " names " + id + ", a service, which is never done");
         return;
       }
       if (end == null || end.cancelled()) {
@@ -351,7 +353,10 @@
     } else if (Json.write(StateCodec.job(spec.needing(List.of()), true)).length <= most) {
       int open = spec.needs().size();
       refuseUnlessKnown(
-          p, spec, 400, "awaits names " + open + " jobs that are not over, more than a job may");
+          p,
+          spec,
+          400,
+          UserCodec.NEEDS + " names " + open + " jobs that are not over, more than a job may");
     } else {
       refuseUnlessKnown(p, spec, 400, "rigs names more machine types than a job may");
     }
--- a/src/main/java/graderelay/cli/Tool.java
+++ b/src/main/java/graderelay/cli/Tool.java
@@ -11,12 +11,15 @@
 import java.time.Duration;
 import java.util.concurrent.Callable;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import picocli.CommandLine.Option;
 
 /**
  * What the operators' tools share: where the server is, how to ask it, and what its answer means.
  */
 abstract class Tool implements Callable<Integer> {
+  private static final int ABSENT = 404;
+
   @Option(
       names = "--server",
       paramLabel = "HOST:PORT",
@@ -65,6 +68,11 @@
     return ask(method, path, body, this::print);
   }
 
+  /** Reads the first path, or the second if there is nothing under the first. */
+  final int askEither(String path, String otherwise) {
+    return ask("GET", path, null, this::print, () -> ask("GET", otherwise, null));
+  }
+
   private void print(JsonNode answer) {
     if (json) {
       System.out.println(answer.toPrettyString());
@@ -74,6 +82,12 @@
   }
 
   private int ask(String method, String path, JsonNode body, Consumer<JsonNode> then) {
+    return ask(method, path, body, then, null);
+  }
+
+  /** The same; {@code ifAbsent}, if it is not null, takes the place of the answer 404. */
+  private int ask(
+      String method, String path, JsonNode body, Consumer<JsonNode> then, IntSupplier ifAbsent) {
     HttpResponse<byte[]> r;
     try {
       HttpRequest request =
@@ -108,6 +122,9 @@
       then.accept(answer);
       return 0;
     }
+    if (status == ABSENT && ifAbsent != null) {
+      return ifAbsent.getAsInt();
+    }
     String error = answer == null ? "" : answer.path("error").asText();
     if (status == 503 || status == 429 || status == 504) {
       System.err.println("graderelay: not now (" + status + "): " + error);
--- a/src/main/java/graderelay/cli/Tools.java
+++ b/src/main/java/graderelay/cli/Tools.java
@@ -42,7 +42,7 @@
   @Command(
       name = "jobs",
       mixinStandardHelpOptions = true,
-      description = "List the live jobs, or show one and why it waits.")
+      description = "List the live jobs, or show one: why it waits, or how it ended.")
   static final class Jobs extends Tool {
     @Parameters(arity = "0..1", paramLabel = "JOB", description = "a job's id")
     private String id;
@@ -51,7 +51,7 @@
     public Integer call() {
       return id == null
           ? pages("/admin/jobs", "jobs", "id")
-          : ask("GET", "/admin/jobs/" + id, null);
+          : askEither("/admin/jobs/" + id, "/v1/jobs/" + id); // Only live jobs have details.
     }
 
     @Override
@@ -63,7 +63,9 @@
       ObjectNode job = answer.deepCopy();
       JsonNode claims = job.remove("claims");
       fields(job);
-      table(claims, "task", "attempt", "machine", "session");
+      if (claims != null) {
+        table(claims, "task", "attempt", "machine", "session");
+      }
     }
   }
 
--- a/src/main/java/graderelay/wire/UserCodec.java
+++ b/src/main/java/graderelay/wire/UserCodec.java
@@ -1,6 +1,7 @@
 package graderelay.wire;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import graderelay.core.JobSpec;
 import graderelay.core.Kind;
@@ -14,6 +15,9 @@
 
 /** What passes between users and controllers. */
 public final class UserCodec {
+  /** The field of a submission that names the jobs it waits for. */
+  public static final String NEEDS = "awaits";
+
   private static final Pattern ID = Pattern.compile("j-[0-9]{1,20}");
 
   private UserCodec() {}
@@ -59,7 +63,7 @@
         f.amountOrNull("ship_s"),
         nowMs,
         sliceCap,
-        needs(f.raw("awaits"), id));
+        needs(f.raw(NEEDS), id));
   }
 
   /** The jobs that this one waits for, each once. */
@@ -68,27 +72,36 @@
       return List.of();
     }
     if (!n.isArray()) {
-      throw new BadRequest("awaits must be null or a list of job ids");
+      throw new BadRequest(NEEDS + " must be null or a list of job ids");
     }
     if (n.size() > Constants.MOST_NEEDS) {
-      throw new BadRequest("awaits has more than " + Constants.MOST_NEEDS + " entries");
+      throw new BadRequest(NEEDS + " has more than " + Constants.MOST_NEEDS + " entries");
     }
     Set<String> needs = new LinkedHashSet<>();
     for (JsonNode need : n) {
       if (!need.isTextual() || !isId(need.textValue())) {
-        throw new BadRequest("awaits must hold ids like j-000412");
+        throw new BadRequest(NEEDS + " must hold ids like j-000412");
       }
       if (need.textValue().equals(id)) {
-        throw new BadRequest("awaits must not name the job itself");
+        throw new BadRequest(NEEDS + " must not name the job itself");
       }
       needs.add(need.textValue());
     }
     return List.copyOf(needs);
   }
 
-  /** A submission as its user wrote it, with more jobs that it has to wait for. */
+  /**
+   * A submission as its user wrote it, with more jobs that it has to wait for. One whose list is no
+   * list stays as it is: the controller says what is wrong with it.
+   */
   public static ObjectNode needing(ObjectNode submission, List<String> ids) {
-    ids.forEach(submission.withArray("awaits")::add);
+    JsonNode named = submission.get(NEEDS);
+    if (named == null || named.isNull()) {
+      named = submission.putArray(NEEDS);
+    }
+    if (named instanceof ArrayNode all) {
+      ids.forEach(all::add);
+    }
     return submission;
   }
 
--- a/src/test/java/graderelay/sim/SimState.java
+++ b/src/test/java/graderelay/sim/SimState.java
@@ -35,7 +35,7 @@
     final Set<String> keys = new HashSet<>();
   }
 
-  private final SimLoop loop;
+  private final Loop loop;
   private int txnOps;
   private int valueBytes = 16 * 1024;
   private boolean lowered;
@@ -76,7 +76,7 @@
   /** Every key that was ever put. */
   public final Set<String> everWritten = new HashSet<>();
 
-  public SimState(SimLoop loop, int txnOps) {
+  public SimState(Loop loop, int txnOps) {
     this.loop = loop;
     this.txnOps = txnOps;
   }
--- a/src/test/java/graderelay/sim/SimWorld.java
+++ b/src/test/java/graderelay/sim/SimWorld.java
@@ -106,7 +106,7 @@
     }
     random = new SplittableRandom(seed);
     net = new SimNet(loop, random);
-    state = new SimState(loop, TXN_OPS);
+    state = new SimState(loop.process(0, new boolean[1]), TXN_OPS);
     rules = new Rules(loop, CANCEL_S, shape.limit());
     var type = new SimCloud.Type("small", 4, 16, 1, 0.4);
     cloud = new SimCloud(this, List.of(type), shape.zones());
