--- a/src/main/java/graderelay/api/AdminApi.java
+++ b/src/main/java/graderelay/api/AdminApi.java
@@ -16,8 +16,8 @@
 import graderelay.service.OperatorSettings;
 import graderelay.service.Settings;
 import graderelay.state.Cache;
-import graderelay.state.Needs;
-import graderelay.state.Ownership;
+import graderelay.state.CancellationResolver;
+import graderelay.state.Leadership;
 import graderelay.state.StateClient;
 import graderelay.state.StateClient.How;
 import graderelay.wire.BadRequest;
@@ -44,7 +44,7 @@
   private final Settings platform;
   private final StateClient state;
   private final Cache cache;
-  private final Ownership ownership;
+  private final Leadership ownership;
   private final MeshClient mesh;
   private final OperatorSettings defaults;
   private final int mostSlice;
@@ -56,7 +56,7 @@
       Settings platform,
       StateClient state,
       Cache cache,
-      Ownership ownership,
+      Leadership ownership,
       MeshClient mesh,
       OperatorSettings defaults,
       int mostSlice,
@@ -259,7 +259,7 @@
       done += s.record().doneCount();
       claimed += s.record().claimedCount();
     }
-    boolean stops = j.stop || Needs.cancelled(cache, j.spec, new HashSet<>());
+    boolean stops = j.stop || CancellationResolver.cancelled(cache, j.spec, new HashSet<>());
     String stage = stops ? "stopping" : claimed > 0 ? "running" : "waiting";
     return Json.object()
         .put("id", j.spec.id())
--- a/src/main/java/graderelay/api/UserApi.java
+++ b/src/main/java/graderelay/api/UserApi.java
@@ -12,9 +12,9 @@
 import graderelay.service.Constants;
 import graderelay.service.Settings;
 import graderelay.state.Cache;
+import graderelay.state.CancellationResolver;
 import graderelay.state.Cancellations;
-import graderelay.state.Ends;
-import graderelay.state.Needs;
+import graderelay.state.FinalStateLookup;
 import graderelay.state.StateClient;
 import graderelay.state.StateClient.How;
 import graderelay.wire.BadRequest;
@@ -46,8 +46,8 @@
   private final Settings settings;
   private final Supplier<Collection<MachineType>> types;
   private final IntSupplier sliceCap;
-  private final Ends ends;
-  private final Needs needs;
+  private final FinalStateLookup ends;
+  private final CancellationResolver needs;
   private int submissions;
 
   public UserApi(
@@ -65,13 +65,14 @@
     this.settings = settings;
     this.types = types;
     this.sliceCap = sliceCap;
-    this.ends = new Ends(loop, state, cache, settings.least().txnOps());
-    this.needs = new Needs(cache, ends);
+    this.ends = new FinalStateLookup(loop, state, cache, settings.least().txnOps());
+    this.needs = new CancellationResolver(cache, ends);
   }
 
   /** A request that is answered once, at the latest when its time is up. */
   private final class Pending {
     final Consumer<Answer> to;
+    private final double since = loop.now();
     private boolean over;
     private final Loop.Timer timer;
 
@@ -223,8 +224,9 @@
           switch (r.how()) {
             case DONE -> {
               LOG.info(
-                  "accepted {}: {} of {}, {} tasks of {} CPUs, estimate {} s, due in {} s",
+                  "accepted {} after {} ms: {} of {}, {} tasks of {} CPUs, estimate {} s, due in {} s",
                   spec.id(),
+                  Math.round((loop.now() - p.since) * 1000),
                   spec.jobClass(),
                   spec.team(),
                   spec.tasks(),
@@ -247,7 +249,7 @@
    */
   private void created(Pending p, JobSpec spec) {
     Set<String> unknown = new HashSet<>();
-    boolean cancelled = Needs.cancelled(cache, spec, unknown);
+    boolean cancelled = CancellationResolver.cancelled(cache, spec, unknown);
     boolean fresh = loop.now() - cache.knownUntil() < Constants.FRESH_S;
     if (cancelled || (fresh && unknown.isEmpty())) {
       p.answer(201, UserCodec.stage(spec.id(), cancelled ? "cancelled" : "pending"));
@@ -319,8 +321,8 @@
     return unknown;
   }
 
-  private void needed(Pending p, JobSpec spec, List<Ends.Found> found) {
-    if (found.contains(Ends.Found.FAILED)) {
+  private void needed(Pending p, JobSpec spec, List<FinalStateLookup.Found> found) {
+    if (found.contains(FinalStateLookup.Found.FAILED)) {
       overloaded(p, () -> admit(p, spec));
       return;
     }
@@ -427,9 +429,9 @@
           Cache.End end = cache.end(e.spec.id());
           if (end != null) {
             then.accept(ended(end)); // It has ended while we looked.
-          } else if (v == Needs.Verdict.CANCELLED) {
+          } else if (v == CancellationResolver.Verdict.CANCELLED) {
             then.accept(new Found("cancelled", 0, 0, null));
-          } else if (v == Needs.Verdict.NOT_CANCELLED) {
+          } else if (v == CancellationResolver.Verdict.NOT_CANCELLED) {
             then.accept(live(e));
           } else if (stateAway()) {
             p.unavailable("the state service can't be reached");
@@ -455,7 +457,7 @@
           Cache.End e = cache.end(id);
           if (e != null) {
             then.accept(ended(e));
-          } else if (found == Ends.Found.ABSENT) {
+          } else if (found == FinalStateLookup.Found.ABSENT) {
             then.accept(null);
           } else if (stateAway()) {
             p.unavailable("the state service can't be reached");
--- a/src/main/java/graderelay/core/Action.java
+++ b/src/main/java/graderelay/core/Action.java
@@ -22,7 +22,8 @@
   record SliceDrop(SliceKey key, long mark) {}
 
   /** Sends orders straight to a worker. */
-  record Command(String machine, String address, long session, long term, List<Order> orders)
+  record Command(
+      String machine, String address, long session, long term, List<WorkerCommand> orders)
       implements Action {}
 
   /** Rents machines. */
--- a/src/main/java/graderelay/core/Boots.java
+++ b/src/main/java/graderelay/core/BootTimes.java
@@ -13,16 +13,16 @@
  * long overtaken will hardly come: work must not wait for it. When none comes, boots are slow for
  * all, and to give machines up and rent others would only begin the wait anew.
  */
-final class Boots {
+final class BootTimes {
   private record Boot(String type, double at, double took) {}
 
-  private final World world;
+  private final ClusterState world;
   private final double startedAt;
   private final Deque<Boot> recent = new ArrayDeque<>();
   private Set<String> stalled = Set.of();
   private final Map<String, Double> lastTry = new HashMap<>();
 
-  Boots(World world, double now) {
+  BootTimes(ClusterState world, double now) {
     this.world = world;
     this.startedAt = now;
   }
--- a/src/main/java/graderelay/core/Claim.java
+++ b/src/main/java/graderelay/core/Claim.java
@@ -94,7 +94,7 @@
     return job.spec.taskId(task);
   }
 
-  Room room() {
+  Resources room() {
     return job.need;
   }
 
--- a/src/main/java/graderelay/core/World.java
+++ b/src/main/java/graderelay/core/ClusterState.java
@@ -10,13 +10,13 @@
 import java.util.Set;
 
 /** Everything the owner knows, with the sums that placement decides by. */
-final class World {
+final class ClusterState {
   final Map<String, Job> jobs = new LinkedHashMap<>();
   final Map<String, Machine> machines = new LinkedHashMap<>();
   Map<String, MachineType> types = Map.of();
 
   /** What each team's claims take together: claims, not reports. */
-  final Map<String, Room> teamUse = new HashMap<>();
+  final Map<String, Resources> teamUse = new HashMap<>();
 
   /** Claims that were asked to stop, other than by their user. */
   final Set<Claim> stopping = new LinkedHashSet<>();
@@ -57,12 +57,12 @@
   Dependencies dependencies;
 
   /** Who may keep leases alive in zones that are cut off from us. */
-  Deputies deputies;
+  LeaseDelegates deputies;
 
   final List<Action> out = new ArrayList<>();
   Policy policy;
 
-  World(Policy policy) {
+  ClusterState(Policy policy) {
     this.policy = policy;
   }
 
@@ -70,19 +70,19 @@
     out.add(new Action.Note(text));
   }
 
-  Room use(String team) {
-    return teamUse.getOrDefault(team, Room.NONE);
+  Resources use(String team) {
+    return teamUse.getOrDefault(team, Resources.NONE);
   }
 
   /** True if one more task of this size keeps the team within its limit. */
-  boolean withinLimit(String team, Room extra) {
+  boolean withinLimit(String team, Resources extra) {
     Team t = policy.team(team);
     if (t == null) {
       return true;
     }
-    Room u = use(team).plus(extra);
-    return (t.cpusMax() <= 0 || u.cpus() <= t.cpusMax() + Room.SLACK)
-        && (t.gpusMax() <= 0 || u.gpus() <= t.gpusMax() + Room.SLACK);
+    Resources u = use(team).plus(extra);
+    return (t.cpusMax() <= 0 || u.cpus() <= t.cpusMax() + Resources.SLACK)
+        && (t.gpusMax() <= 0 || u.gpus() <= t.gpusMax() + Resources.SLACK);
   }
 
   /** CPUs that the team's limit leaves beside its claims; without a limit, any number. */
@@ -92,23 +92,23 @@
   }
 
   /** True if this much more work of the team stays within what it is guaranteed. */
-  boolean withinGuarantee(String team, Room extra) {
+  boolean withinGuarantee(String team, Resources extra) {
     Team t = policy.team(team);
     if (t == null || (t.cpus() <= 0 && t.gpus() <= 0)) {
       return false;
     }
-    Room u = use(team).plus(extra);
-    return u.cpus() <= t.cpus() + Room.SLACK && u.gpus() <= t.gpus() + Room.SLACK;
+    Resources u = use(team).plus(extra);
+    return u.cpus() <= t.cpus() + Resources.SLACK && u.gpus() <= t.gpus() + Resources.SLACK;
   }
 
   /** True if the team would still use at least its guarantee without this much of it. */
-  boolean beyondGuarantee(String team, Room part) {
+  boolean beyondGuarantee(String team, Resources part) {
     Team t = policy.team(team);
     if (t == null) {
       return true;
     }
-    Room u = use(team).minus(part);
-    return u.cpus() + Room.SLACK >= t.cpus() && u.gpus() + Room.SLACK >= t.gpus();
+    Resources u = use(team).minus(part);
+    return u.cpus() + Resources.SLACK >= t.cpus() && u.gpus() + Resources.SLACK >= t.gpus();
   }
 
   Machine machine(String name, double now) {
@@ -130,7 +130,7 @@
     m.claims.put(c.taskId(), c);
     m.take(c);
     byPriority.add(c.priority);
-    teamUse.merge(c.job.spec.team(), c.room(), Room::plus);
+    teamUse.merge(c.job.spec.team(), c.room(), Resources::plus);
     c.job.claims.put(c.task, c);
     c.job.open.clear(c.task);
     if (m.zone != null) {
@@ -153,7 +153,7 @@
     if (m.claims.isEmpty()) {
       m.idleSince = now;
     }
-    teamUse.merge(c.job.spec.team(), Room.NONE.minus(c.room()), Room::plus);
+    teamUse.merge(c.job.spec.team(), Resources.NONE.minus(c.room()), Resources::plus);
     c.job.claims.remove(c.task, c);
     if (c.zone != null) {
       c.job.zoneClaims.merge(c.zone, -1, Integer::sum);
@@ -176,7 +176,7 @@
     m.type = type;
     m.spot = spot;
     MachineType t = types.get(type);
-    m.room = t == null ? Room.NONE : Room.of(t);
+    m.room = t == null ? Resources.NONE : Resources.of(t);
     if (m.zone == null && zone != null) {
       m.zone = zone;
       for (Claim c : m.claims.values()) {
--- a/src/main/java/graderelay/core/Deadlines.java
+++ b/src/main/java/graderelay/core/Deadlines.java
@@ -23,10 +23,10 @@
 
   private record Due(double at, double work, double estimate) {}
 
-  private final World world;
+  private final ClusterState world;
   private final Map<String, Ratio> ratios = new HashMap<>();
 
-  Deadlines(World world) {
+  Deadlines(ClusterState world) {
     this.world = world;
   }
 
--- a/src/main/java/graderelay/core/Dependencies.java
+++ b/src/main/java/graderelay/core/Dependencies.java
@@ -20,7 +20,7 @@
  * matter of records alone, which are written in their own time.
  */
 final class Dependencies {
-  private final World world;
+  private final ClusterState world;
   private final ToDoubleFunction<JobSpec> estimate;
 
   /** Live jobs by a job that they wait for. */
@@ -29,7 +29,7 @@
   /** Needed jobs that are not live here, and when their final records were last asked for. */
   private final Map<String, Double> missing = new LinkedHashMap<>();
 
-  Dependencies(World world, ToDoubleFunction<JobSpec> estimate) {
+  Dependencies(ClusterState world, ToDoubleFunction<JobSpec> estimate) {
     this.world = world;
     this.estimate = estimate;
   }
--- a/src/main/java/graderelay/core/Blame.java
+++ b/src/main/java/graderelay/core/FailureAttribution.java
@@ -9,11 +9,11 @@
  * accepted job must run, so a job at fault is tried on, one task at a time and ever more rarely; it
  * costs no other job a machine.
  */
-final class Blame {
-  private final World world;
+final class FailureAttribution {
+  private final ClusterState world;
   private final FleetPlanner planner;
 
-  Blame(World world, FleetPlanner planner) {
+  FailureAttribution(ClusterState world, FleetPlanner planner) {
     this.world = world;
     this.planner = planner;
   }
--- a/src/main/java/graderelay/core/FleetPlanner.java
+++ b/src/main/java/graderelay/core/FleetPlanner.java
@@ -36,15 +36,15 @@
   private static final class Bin {
     final Machine machine;
     final Pool pool;
-    Room free;
+    Resources free;
 
     /** Tasks that it may still take, whatever their size. */
     int places;
 
     /** What arrays of lower priority would make room for services. */
-    Room yielding = Room.NONE;
+    Resources yielding = Resources.NONE;
 
-    Bin(Machine machine, Pool pool, Room free) {
+    Bin(Machine machine, Pool pool, Resources free) {
       this.machine = machine;
       this.pool = pool;
       this.free = free;
@@ -83,7 +83,7 @@
 
   private record Arrival(double at, JobSpec spec, int tasks) {}
 
-  private final World world;
+  private final ClusterState world;
   private final Map<Long, Hiring> hiring = new HashMap<>();
   private final Map<Pool, Refusal> refused = new HashMap<>();
   private final List<Arrival> arrivals = new ArrayList<>();
@@ -93,11 +93,11 @@
   private final Deadlines deadlines;
   private double lastMove = Double.NEGATIVE_INFINITY;
 
-  private final Boots boots;
+  private final BootTimes boots;
 
-  FleetPlanner(World world, double now) {
+  FleetPlanner(ClusterState world, double now) {
     this.world = world;
-    this.boots = new Boots(world, now);
+    this.boots = new BootTimes(world, now);
     this.deadlines = new Deadlines(world);
     this.startedAt = now;
   }
@@ -237,7 +237,7 @@
     }
     for (Hiring h : hiring.values()) {
       for (int i = 0; i < h.count; i++) {
-        bins.add(new Bin(null, h.pool, Room.of(world.types.get(h.pool.type()))));
+        bins.add(new Bin(null, h.pool, Resources.of(world.types.get(h.pool.type()))));
       }
     }
     double there = cpusForArrays(bins);
@@ -413,7 +413,7 @@
     if (serviceCpus(m) > Constants.MOVE_SHARE * m.room.cpus()) {
       return false;
     }
-    Map<Machine, Room> free = new LinkedHashMap<>();
+    Map<Machine, Resources> free = new LinkedHashMap<>();
     for (Machine o : ordinary) {
       if (o != m && !o.closing && world.usable(o, now)) {
         free.put(o, o.room.minus(servicesOn(o)));
@@ -433,7 +433,7 @@
       if (to == null) {
         return false;
       }
-      free.merge(to, c.room(), Room::minus);
+      free.merge(to, c.room(), Resources::minus);
     }
     return true;
   }
@@ -456,8 +456,8 @@
       int slots = 0;
       for (Machine o : ordinary) {
         if (o != m && !o.closing && o.warm(e.getKey())) {
-          Room room = o.room.minus(servicesOn(o));
-          slots += room.times(Room.of(e.getValue()));
+          Resources room = o.room.minus(servicesOn(o));
+          slots += room.times(Resources.of(e.getValue()));
         }
       }
       // What is moved off this machine takes room there as well.
@@ -469,7 +469,7 @@
     return true;
   }
 
-  private static Room servicesOn(Machine m) {
+  private static Resources servicesOn(Machine m) {
     return m.services;
   }
 
@@ -488,7 +488,7 @@
       return;
     }
     int left = atOnce(ordinary);
-    Map<Machine, Room> promised = new HashMap<>();
+    Map<Machine, Resources> promised = new HashMap<>();
     for (Machine m : ordinary) {
       if (!m.closing) {
         continue;
@@ -509,10 +509,10 @@
               && to.holds(c.room())
               && goodTarget(c, to)
               && world.usable(to, now)
-              && to.free().minus(promised.getOrDefault(to, Room.NONE)).holds(c.room())) {
+              && to.free().minus(promised.getOrDefault(to, Resources.NONE)).holds(c.room())) {
             world.askStop(c, now);
             lastMove = now;
-            promised.merge(to, c.room(), Room::plus);
+            promised.merge(to, c.room(), Resources::plus);
             world.note("move " + c.taskId() + " off " + m.name);
             if (--left <= 0) {
               return;
@@ -536,7 +536,7 @@
       return open;
     }
     double left = teamLeft.computeIfAbsent(s.team(), world::cpusLeft);
-    int n = (int) Math.max(0, Math.min(open, (left + Room.SLACK) / s.cpus()));
+    int n = (int) Math.max(0, Math.min(open, (left + Resources.SLACK) / s.cpus()));
     teamLeft.put(s.team(), left - n * s.cpus());
     return n;
   }
@@ -561,7 +561,7 @@
       Map<Pool, Integer> wanted,
       Set<Machine> keep,
       double now) {
-    Room need = Room.of(s);
+    Resources need = Resources.of(s);
     int left = n;
     // What may use spot machines takes those first, and leaves the others to what may not.
     for (boolean first : new boolean[] {true, false}) {
@@ -572,7 +572,7 @@
         if (!suits(s, b.pool) || (s.spot() && b.pool.spot() != first) || (!s.spot() && !first)) {
           continue;
         }
-        Room room = s.isService() ? b.free.plus(b.yielding) : b.free;
+        Resources room = s.isService() ? b.free.plus(b.yielding) : b.free;
         int k = Math.min(left, Math.min(b.places, room.times(need)));
         if (zones != null && k > 0) {
           k = Math.min(k, zones.left(b.pool.zone()));
@@ -595,7 +595,7 @@
       if (patient) {
         dearCpus -= world.types.get(p.type()).cpus();
       }
-      Room room = Room.of(world.types.get(p.type()));
+      Resources room = Resources.of(world.types.get(p.type()));
       int k = Math.min(left, Math.min(Constants.MOST_ON_MACHINE, room.times(need)));
       if (zones != null) {
         k = Math.min(k, zones.left(p.zone()));
@@ -611,8 +611,8 @@
     }
   }
 
-  private static Room less(Room r, Room need, int k) {
-    return new Room(
+  private static Resources less(Resources r, Resources need, int k) {
+    return new Resources(
         r.cpus() - k * need.cpus(), r.gpus() - k * need.gpus(), r.memGb() - k * need.memGb());
   }
 
@@ -621,7 +621,9 @@
     Pool best = null;
     double bestPrice = Double.MAX_VALUE;
     for (MachineType t : world.types.values()) {
-      int slots = Math.min(left, Math.min(Constants.MOST_ON_MACHINE, Room.of(t).times(Room.of(s))));
+      int slots =
+          Math.min(
+              left, Math.min(Constants.MOST_ON_MACHINE, Resources.of(t).times(Resources.of(s))));
       if (slots <= 0) {
         continue;
       }
--- a/src/main/java/graderelay/core/Job.java
+++ b/src/main/java/graderelay/core/Job.java
@@ -39,7 +39,7 @@
   final JobSpec spec;
 
   /** What one task takes. */
-  final Room need;
+  final Resources need;
 
   long mark;
   boolean stop;
@@ -61,7 +61,7 @@
   /** When the queue's head began to wait; for fairness and for the operator's question why. */
   double waitingSince;
 
-  /** Machines on which a task of this job failed by itself, see {@link Blame}. */
+  /** Machines on which a task of this job failed by itself, see {@link FailureAttribution}. */
   final Set<String> failedOn = new HashSet<>();
 
   /** It failed on several machines and succeeded on none: tried one task at a time. */
@@ -88,7 +88,7 @@
 
   Job(JobSpec spec, long mark, boolean stop, double now) {
     this.spec = spec;
-    this.need = Room.of(spec);
+    this.need = Resources.of(spec);
     this.mark = mark;
     this.stop = stop;
     this.waitingSince = now;
@@ -185,7 +185,7 @@
     return doneCount == spec.tasks();
   }
 
-  /** The world's {@link World#roomVersion} when a round last found no room for it. */
+  /** The world's {@link ClusterState#roomVersion} when a round last found no room for it. */
   long noRoomAt = -1;
 
   /** When that was; what only time changes is looked at again after a while. */
--- a/src/main/java/graderelay/core/JobSpec.java
+++ b/src/main/java/graderelay/core/JobSpec.java
@@ -42,9 +42,9 @@
   public boolean fits(MachineType type) {
     return (types == null || types.contains(type.name()))
         && (zone == null || type.zones().contains(zone))
-        && cpus <= type.cpus() + Room.SLACK
-        && gpus <= type.gpus() + Room.SLACK
-        && memGb <= type.memGb() + Room.SLACK;
+        && cpus <= type.cpus() + Resources.SLACK
+        && gpus <= type.gpus() + Resources.SLACK
+        && memGb <= type.memGb() + Resources.SLACK;
   }
 
   /** The same job with other dependencies: those that are done need not be kept. */
--- a/src/main/java/graderelay/core/Deputies.java
+++ b/src/main/java/graderelay/core/LeaseDelegates.java
@@ -11,7 +11,7 @@
  * of a deputy that is silent, so its zone's leases count as renewed until its grant has run out;
  * from one that speaks we know that it does not answer by itself.
  */
-final class Deputies {
+final class LeaseDelegates {
   /**
    * A deputy's question for a grant.
    *
@@ -23,7 +23,7 @@
    */
   record Ask(String member, String self, long n, long of, double echo, double aloneS) {}
 
-  private static final class Deputy {
+  private static final class LeaseDelegate {
     final String zone;
     String self = "";
     long granted;
@@ -31,28 +31,28 @@
     double echoAt = Double.NEGATIVE_INFINITY;
     double aloneAt = Double.NEGATIVE_INFINITY;
 
-    Deputy(String zone, double grantedUntil) {
+    LeaseDelegate(String zone, double grantedUntil) {
       this.zone = zone;
       this.grantedUntil = grantedUntil;
     }
   }
 
-  private final Map<String, Deputy> all = new HashMap<>();
+  private final Map<String, LeaseDelegate> all = new HashMap<>();
   private final long epoch;
   private final double lengthS;
   private final double leaseS;
 
   /** Earlier owners granted until they lost the fleet at the latest, which was before now. */
-  Deputies(Map<String, String> zones, long epoch, double grantS, double leaseS, double now) {
+  LeaseDelegates(Map<String, String> zones, long epoch, double grantS, double leaseS, double now) {
     this.epoch = epoch;
     this.lengthS = grantS * (1 + Constants.DRIFT);
     this.leaseS = leaseS;
-    zones.forEach((m, z) -> all.put(m, new Deputy(z, now + lengthS)));
+    zones.forEach((m, z) -> all.put(m, new LeaseDelegate(z, now + lengthS)));
   }
 
   /** True if the member is one; it has a grant from now on. */
   boolean ask(Ask a, double now) {
-    Deputy d = all.get(a.member());
+    LeaseDelegate d = all.get(a.member());
     if (d == null) {
       return false;
     }
@@ -74,7 +74,7 @@
    * question {@code n}. One that was granted since may hold.
    */
   void free(String member, String self, long n, long of, double aloneS, double now) {
-    Deputy d = all.get(member);
+    LeaseDelegate d = all.get(member);
     if (d != null && of == epoch && self.equals(d.self) && d.granted <= n) {
       d.aloneAt = Math.max(d.aloneAt, now - aloneS);
       d.grantedUntil = Double.NEGATIVE_INFINITY;
@@ -84,7 +84,7 @@
   /** No lease in the zone was renewed by a deputy later than this. */
   double renewedUntil(String zone, double now) {
     double last = Double.NEGATIVE_INFINITY;
-    for (Deputy d : all.values()) {
+    for (LeaseDelegate d : all.values()) {
       if (zone == null || zone.equals(d.zone)) {
         last = Math.max(last, d.aloneAt);
         if (silent(d, now)) {
@@ -97,7 +97,7 @@
 
   /** True if leases in the zone may go on since a deputy answered its workers by itself. */
   boolean mayKeep(String zone, double now) {
-    for (Deputy d : all.values()) {
+    for (LeaseDelegate d : all.values()) {
       if (d.zone.equals(zone) && silent(d, now) && now < d.grantedUntil + leaseS) {
         return true;
       }
@@ -105,7 +105,7 @@
     return false;
   }
 
-  private static boolean silent(Deputy d, double now) {
+  private static boolean silent(LeaseDelegate d, double now) {
     return now > d.echoAt + Constants.DEPUTY_ALONE_S * (1 - Constants.DRIFT);
   }
 }
--- a/src/main/java/graderelay/core/Ledger.java
+++ b/src/main/java/graderelay/core/Ledger.java
@@ -17,12 +17,12 @@
  * has committed.
  */
 final class Ledger {
-  private final World world;
+  private final ClusterState world;
 
   /** Hears of each job's end that has committed. */
   java.util.function.ObjDoubleConsumer<Action.JobEnd> ended = (e, now) -> {};
 
-  Ledger(World world) {
+  Ledger(ClusterState world) {
     this.world = world;
   }
 
--- a/src/main/java/graderelay/core/Machine.java
+++ b/src/main/java/graderelay/core/Machine.java
@@ -87,8 +87,8 @@
   boolean failed;
 
   double idleSince;
-  Room room = Room.NONE;
-  Room used = Room.NONE;
+  Resources room = Resources.NONE;
+  Resources used = Resources.NONE;
 
   final Map<String, Claim> claims = new HashMap<>();
   Report last;
@@ -118,7 +118,7 @@
   }
 
   /** What services hold here, kept up with the claims. */
-  Room services = Room.NONE;
+  Resources services = Resources.NONE;
 
   /** Claims here, by priority. */
   final PriorityCounts byPriority = new PriorityCounts();
@@ -133,14 +133,14 @@
   }
 
   /** The same as {@code free().holds(need)}, without an object for each question. */
-  boolean holds(Room need) {
+  boolean holds(Resources need) {
     return claims.size() < Constants.MOST_ON_MACHINE
-        && need.cpus() <= room.cpus() - used.cpus() + Room.SLACK
-        && need.gpus() <= room.gpus() - used.gpus() + Room.SLACK
-        && need.memGb() <= room.memGb() - used.memGb() + Room.SLACK;
+        && need.cpus() <= room.cpus() - used.cpus() + Resources.SLACK
+        && need.gpus() <= room.gpus() - used.gpus() + Resources.SLACK
+        && need.memGb() <= room.memGb() - used.memGb() + Resources.SLACK;
   }
 
-  Room free() {
+  Resources free() {
     return room.minus(used);
   }
 
@@ -154,10 +154,10 @@
 
   void give(Claim c) {
     // An empty machine starts from nothing, so that rounding doesn't add up.
-    used = claims.isEmpty() ? Room.NONE : used.minus(c.room());
+    used = claims.isEmpty() ? Resources.NONE : used.minus(c.room());
     byPriority.remove(c.priority);
     if (c.job.spec.isService()) {
-      services = claims.isEmpty() ? Room.NONE : services.minus(c.room());
+      services = claims.isEmpty() ? Resources.NONE : services.minus(c.room());
     }
   }
 
--- a/src/main/java/graderelay/core/Placer.java
+++ b/src/main/java/graderelay/core/Placer.java
@@ -16,16 +16,16 @@
  * report, and where there is no room, work that may be stopped for it is stopped.
  */
 final class Placer {
-  private final World world;
+  private final ClusterState world;
   private final RandomGenerator random;
 
   /** Jobs that wait for others of their team, see {@link Deadlines}. */
   private Set<Job> stepBack = Set.of();
 
   /** What each team is about to lose already, so that nobody is pushed below its guarantee. */
-  private final Map<String, Room> stopping = new HashMap<>();
+  private final Map<String, Resources> stopping = new HashMap<>();
 
-  Placer(World world, RandomGenerator random) {
+  Placer(ClusterState world, RandomGenerator random) {
     this.world = world;
     this.random = random;
   }
@@ -52,10 +52,10 @@
   List<Claim> round(int changes, double now) {
     roundAt = now;
     List<Claim> claims = new ArrayList<>();
-    List<Keyed> waiting = new ArrayList<>();
+    List<QueueEntry> waiting = new ArrayList<>();
     for (Job j : world.jobs.values()) {
       if (j.waiting() && !(j.noRoomAt == world.roomVersion && now - j.noRoomSince < PAUSE)) {
-        waiting.add(new Keyed(j, now));
+        waiting.add(new QueueEntry(j, now));
       }
     }
     if (waiting.isEmpty()) {
@@ -71,7 +71,7 @@
     waiting.sort(null);
     int left = changes;
     reserve(waiting);
-    for (Keyed k : waiting) {
+    for (QueueEntry k : waiting) {
       // On a fleet that work above it fills, a guest's job would not begin at all.
       if (k.job.neverBegan() && now - k.job.submittedAt > Constants.MUST_BEGIN_S) {
         left -= place(k.job, usable, false, 1, claims, now);
@@ -87,7 +87,7 @@
       // One that ranks alone takes the best machines first anyway.
       boolean alone = to - from == 1;
       for (boolean warmOnly : alone ? new boolean[] {false} : new boolean[] {true, false}) {
-        for (Keyed k : waiting.subList(from, to)) {
+        for (QueueEntry k : waiting.subList(from, to)) {
           boolean service = k.job.spec.isService();
           if (service && !warmOnly && !alone) {
             continue; // Placed by the first pass, wherever there was room.
@@ -104,9 +104,9 @@
     littleBelow.clear();
     stopping.clear();
     for (Claim c : world.stopping) {
-      stopping.merge(c.job.spec.team(), c.room(), Room::plus);
+      stopping.merge(c.job.spec.team(), c.room(), Resources::plus);
     }
-    for (Keyed k : waiting) {
+    for (QueueEntry k : waiting) {
       Job j = k.job;
       if (!j.open.isEmpty() && j.notBefore <= now) {
         makeRoom(j, usable, now);
@@ -122,7 +122,7 @@
    * then work within a guarantee, then the team with the least share, then the oldest. Worked out
    * once a round, since a comparison that sums is called many times.
    */
-  private final class Keyed implements Comparable<Keyed> {
+  private final class QueueEntry implements Comparable<QueueEntry> {
     final Job job;
     final boolean patientEnough;
     final boolean beyond;
@@ -131,7 +131,7 @@
     final double worth;
     final double due;
 
-    Keyed(Job j, double now) {
+    QueueEntry(Job j, double now) {
       job = j;
       // Neither smaller nor newer jobs, nor other teams, may pass a job for ever.
       patientEnough = !waitingWins(j, now);
@@ -146,7 +146,7 @@
      * True if neither has a claim to room before the other but by order. Deadlines do: what is due
      * first must not wait for a slot with its image.
      */
-    boolean ranksWith(Keyed o) {
+    boolean ranksWith(QueueEntry o) {
       return job.priority() == o.job.priority()
           && patientEnough
           && o.patientEnough
@@ -156,7 +156,7 @@
     }
 
     @Override
-    public int compareTo(Keyed o) {
+    public int compareTo(QueueEntry o) {
       int c = job.priority().compareTo(o.job.priority());
       c = c != 0 ? c : Boolean.compare(patientEnough, o.patientEnough);
       if (c == 0 && patientEnough) {
@@ -305,11 +305,11 @@
    * Lower work would take it meanwhile and be stopped for them a moment later, and again: on a full
    * fleet an array of a hundred thousand small tasks was stopped half a million times.
    */
-  private void reserve(List<Keyed> waiting) {
+  private void reserve(List<QueueEntry> waiting) {
     reserved.clear();
     freeCpus = Double.NaN;
     Priority lowest = waiting.get(waiting.size() - 1).job.priority();
-    for (Keyed k : waiting) {
+    for (QueueEntry k : waiting) {
       JobSpec s = k.job.spec;
       if (k.job.priority().beats(lowest) && k.job.notBefore <= roundAt) {
         // Not for what its team's limit keeps from running in any case.
@@ -470,7 +470,7 @@
 
   /** True if room is on its way on the machine, or can be made at little loss. */
   private static boolean canMakeRoom(Job j, Machine m) {
-    Room room = m.free();
+    Resources room = m.free();
     for (Claim c : m.claims.values()) {
       boolean comes = c.stopAsked || c.phase == Claim.Phase.SETTLING;
       boolean lower = c.phase == Claim.Phase.HELD && j.priority().beats(c.priority);
@@ -550,7 +550,7 @@
     if (spares(j, guaranteed, usable, now)) {
       return;
     }
-    Room promised = Room.NONE;
+    Resources promised = Resources.NONE;
     boolean within = false;
     PriorityQueue<Offer> offers = null;
     while (wanted-- > 0) {
@@ -649,7 +649,7 @@
               && wait != null
               && wait < c.job.spec.saveS() + Constants.HURRY_S;
       world.askStop(c, now);
-      stopping.merge(c.job.spec.team(), c.room(), Room::plus);
+      stopping.merge(c.job.spec.team(), c.room(), Resources::plus);
       c.hardStop = hurry;
       if (first) {
         c.madeFor = j;
@@ -679,8 +679,8 @@
   }
 
   /** The cheapest claims whose end makes room on the machine, or null if that is not possible. */
-  private List<Claim> victims(Job j, Machine m, Room need, boolean within, double now) {
-    Room free = m.free();
+  private List<Claim> victims(Job j, Machine m, Resources need, boolean within, double now) {
+    Resources free = m.free();
     List<Claim> can = new ArrayList<>();
     world.looked += m.claims.size();
     for (Claim c : m.claims.values()) {
@@ -696,7 +696,7 @@
       }
       JobSpec v = c.job.spec;
       boolean lower = j.priority().beats(c.priority);
-      Room gone = stopping.getOrDefault(v.team(), Room.NONE).plus(c.room());
+      Resources gone = stopping.getOrDefault(v.team(), Resources.NONE).plus(c.room());
       boolean borrowed =
           within
               && !v.team().equals(j.spec.team())
--- a/src/main/java/graderelay/core/Room.java
+++ b/src/main/java/graderelay/core/Resources.java
@@ -1,34 +1,34 @@
 package graderelay.core;
 
 /** Amounts of a machine's resources. */
-public record Room(double cpus, double gpus, double memGb) {
+public record Resources(double cpus, double gpus, double memGb) {
   /** Decimal amounts are summed up in floating point; this much of a unit is rounding, not need. */
   static final double SLACK = 1e-6;
 
-  public static final Room NONE = new Room(0, 0, 0);
+  public static final Resources NONE = new Resources(0, 0, 0);
 
-  static Room of(JobSpec s) {
-    return new Room(s.cpus(), s.gpus(), s.memGb());
+  static Resources of(JobSpec s) {
+    return new Resources(s.cpus(), s.gpus(), s.memGb());
   }
 
-  static Room of(MachineType t) {
-    return new Room(t.cpus(), t.gpus(), t.memGb());
+  static Resources of(MachineType t) {
+    return new Resources(t.cpus(), t.gpus(), t.memGb());
   }
 
-  Room plus(Room o) {
-    return new Room(cpus + o.cpus, gpus + o.gpus, memGb + o.memGb);
+  Resources plus(Resources o) {
+    return new Resources(cpus + o.cpus, gpus + o.gpus, memGb + o.memGb);
   }
 
-  Room minus(Room o) {
-    return new Room(cpus - o.cpus, gpus - o.gpus, memGb - o.memGb);
+  Resources minus(Resources o) {
+    return new Resources(cpus - o.cpus, gpus - o.gpus, memGb - o.memGb);
   }
 
-  boolean holds(Room o) {
+  boolean holds(Resources o) {
     return o.cpus <= cpus + SLACK && o.gpus <= gpus + SLACK && o.memGb <= memGb + SLACK;
   }
 
   /** How many of these fit at once. */
-  int times(Room o) {
+  int times(Resources o) {
     double n = 1e9;
     if (o.cpus > 0) {
       n = Math.min(n, (cpus + SLACK) / o.cpus);
--- a/src/main/java/graderelay/core/Scheduler.java
+++ b/src/main/java/graderelay/core/Scheduler.java
@@ -12,8 +12,9 @@
 
 /**
  * What the owner of the fleet decides. Events come in with the time, actions go out; nothing here
- * waits, reads a clock or touches a socket. The parts share one {@link World}: {@link Ledger} has
- * the records, {@link Proof} what is proven gone, {@link Orders} what workers are told.
+ * waits, reads a clock or touches a socket. The parts share one {@link ClusterState}: {@link
+ * Ledger} has the records, {@link TerminationProof} what is proven gone, {@link WorkerCommands}
+ * what workers are told.
  */
 public final class Scheduler {
   /** How a transaction ended. */
@@ -36,28 +37,29 @@
     UNKNOWN
   }
 
-  private final World world;
+  private final ClusterState world;
   private final Placer placer;
   private final FleetPlanner planner;
   private final Ledger ledger;
-  private final Orders orders;
-  private final Proof proof;
+  private final WorkerCommands orders;
+  private final TerminationProof proof;
 
   private double lastRound = Double.NEGATIVE_INFINITY;
   private double lastPlan = Double.NEGATIVE_INFINITY;
 
   public Scheduler(Policy policy, long term, RandomGenerator random, double now) {
-    this.world = new World(policy);
+    this.world = new ClusterState(policy);
     this.placer = new Placer(world, random);
     this.planner = new FleetPlanner(world, now);
     world.term = term;
     world.firstTerm = term;
     world.tookOver = now;
-    world.deputies = new Deputies(policy.deputies(), term, policy.grantS(), policy.leaseS(), now);
+    world.deputies =
+        new LeaseDelegates(policy.deputies(), term, policy.grantS(), policy.leaseS(), now);
     world.dependencies = new Dependencies(world, planner::estimate);
     this.ledger = new Ledger(world);
-    this.orders = new Orders(world, ledger);
-    this.proof = new Proof(world, ledger, orders, planner);
+    this.orders = new WorkerCommands(world, ledger);
+    this.proof = new TerminationProof(world, ledger, orders, planner);
     ledger.ended = (e, at) -> onEnd(e.job(), e.cancelled(), at, at);
   }
 
@@ -199,7 +201,7 @@
   }
 
   /** Orders for the response to the report that was just taken. */
-  public List<Order> ordersFor(Report r, double now) {
+  public List<WorkerCommand> ordersFor(Report r, double now) {
     return orders.ordersFor(r, now);
   }
 
@@ -212,7 +214,7 @@
   /** Another controller asks to be our deputy in its zone; false if it is none of ours. */
   public boolean onDeputy(
       String member, String self, long n, long of, double echo, double aloneS, double now) {
-    return world.deputies.ask(new Deputies.Ask(member, self, n, of, echo, aloneS), now);
+    return world.deputies.ask(new LeaseDelegates.Ask(member, self, n, of, echo, aloneS), now);
   }
 
   /** A deputy that doesn't reach us has given back what it was granted up to its question. */
@@ -436,7 +438,7 @@
   }
 
   /** What each team uses, judged on claims. */
-  public Map<String, Room> teamUse() {
+  public Map<String, Resources> teamUse() {
     return Map.copyOf(world.teamUse);
   }
 
--- a/src/main/java/graderelay/core/Proof.java
+++ b/src/main/java/graderelay/core/TerminationProof.java
@@ -11,19 +11,19 @@
  * What reports, answers and the passing of time prove about machines and about the claims on them.
  * Running until proven gone: a claim ends here or not at all.
  */
-final class Proof {
-  private final World world;
+final class TerminationProof {
+  private final ClusterState world;
   private final Ledger ledger;
-  private final Orders orders;
+  private final WorkerCommands orders;
   private final FleetPlanner planner;
-  private final Blame blame;
+  private final FailureAttribution blame;
 
-  Proof(World world, Ledger ledger, Orders orders, FleetPlanner planner) {
+  TerminationProof(ClusterState world, Ledger ledger, WorkerCommands orders, FleetPlanner planner) {
     this.world = world;
     this.ledger = ledger;
     this.orders = orders;
     this.planner = planner;
-    this.blame = new Blame(world, planner);
+    this.blame = new FailureAttribution(world, planner);
   }
 
   long stale;
@@ -330,8 +330,8 @@
     }
     m.failedPokes =
         how == Scheduler.Sent.EXECUTED || how == Scheduler.Sent.REFUSED ? 0 : m.failedPokes + 1;
-    for (Order o : cmd.orders()) {
-      if (!(o instanceof Order.Launch l)) {
+    for (WorkerCommand o : cmd.orders()) {
+      if (!(o instanceof WorkerCommand.Launch l)) {
         continue;
       }
       Claim c = m.claims.get(l.task());
--- a/src/main/java/graderelay/core/Orders.java
+++ b/src/main/java/graderelay/core/WorkerCommands.java
@@ -12,11 +12,11 @@
  * What workers are told: starts, stops and questions, with the responses to their reports or
  * straight. Nothing is started before its claim has committed.
  */
-final class Orders {
-  private final World world;
+final class WorkerCommands {
+  private final ClusterState world;
   private final Ledger ledger;
 
-  Orders(World world, Ledger ledger) {
+  WorkerCommands(ClusterState world, Ledger ledger) {
     this.world = world;
     this.ledger = ledger;
     this.directFilled = world.tookOver;
@@ -24,7 +24,7 @@
   }
 
   /** A body may have 64 KiB: what goes beyond one's share follows with the reports' responses. */
-  private static boolean room(List<Order> orders) {
+  private static boolean room(List<WorkerCommand> orders) {
     return orders == null || orders.size() < Constants.MOST_ORDERS;
   }
 
@@ -37,9 +37,9 @@
   private boolean raising;
 
   /** Orders for the response to the report that was just taken. */
-  List<Order> ordersFor(Report r, double now) {
+  List<WorkerCommand> ordersFor(Report r, double now) {
     Machine m = world.machines.get(r.machine());
-    List<Order> orders = new ArrayList<>();
+    List<WorkerCommand> orders = new ArrayList<>();
     if (m == null || m.session != r.session() || m.seq != r.seq()) {
       return orders;
     }
@@ -48,12 +48,12 @@
       boolean ours = c != null && c.attempt == e.attempt() && c.session == m.session;
       if (!ours) {
         if (e.stage() != Report.Stage.EXITED) {
-          orders.add(new Order.Kill(e.task(), e.attempt(), 0));
-        } else if (!m.neverReap.contains(Proof.reapKey(e.task(), e.attempt()))) {
-          orders.add(new Order.Reap(e.task(), e.attempt()));
+          orders.add(new WorkerCommand.Kill(e.task(), e.attempt(), 0));
+        } else if (!m.neverReap.contains(TerminationProof.reapKey(e.task(), e.attempt()))) {
+          orders.add(new WorkerCommand.Reap(e.task(), e.attempt()));
         }
       } else if (e.stage() != Report.Stage.EXITED) {
-        Order.Kill kill = killOf(c, now);
+        WorkerCommand.Kill kill = killOf(c, now);
         if (kill != null) {
           orders.add(kill);
         }
@@ -62,7 +62,7 @@
     for (Claim c : m.claims.values()) {
       boolean open = c.launch == Claim.Launch.NONE || c.launch == Claim.Launch.DOUBTFUL;
       if (open && launchable(m, c)) {
-        orders.add(new Order.Launch(c.taskId(), c.attempt));
+        orders.add(new WorkerCommand.Launch(c.taskId(), c.attempt));
         if (c.launch == Claim.Launch.NONE) {
           c.launch = Claim.Launch.IN_RESPONSE;
           c.launchSeq = r.seq();
@@ -84,22 +84,24 @@
         && !m.returning;
   }
 
-  private Order.Kill killOf(Claim c, double now) {
+  private WorkerCommand.Kill killOf(Claim c, double now) {
     if (c.job.stop) {
-      return new Order.Kill(c.taskId(), c.attempt, 0);
+      return new WorkerCommand.Kill(c.taskId(), c.attempt, 0);
     }
     if (!c.stopAsked) {
       return null;
     }
     JobSpec s = c.job.spec;
     if (c.hardStop || s.checkpointS() <= 0) {
-      return new Order.Kill(c.taskId(), c.attempt, 0);
+      return new WorkerCommand.Kill(c.taskId(), c.attempt, 0);
     }
     double grace = s.saveS() + Constants.SAVE_SLACK_S;
     if (c.stage == Report.Stage.SAVING) {
-      return now - c.stageSince > 2 * grace ? new Order.Kill(c.taskId(), c.attempt, 0) : null;
+      return now - c.stageSince > 2 * grace
+          ? new WorkerCommand.Kill(c.taskId(), c.attempt, 0)
+          : null;
     }
-    return new Order.Kill(c.taskId(), c.attempt, grace);
+    return new WorkerCommand.Kill(c.taskId(), c.attempt, grace);
   }
 
   void stopClaims(Job j, double now) {
@@ -125,7 +127,7 @@
 
   /** Sends kills straight away; reports' responses repeat them. */
   void kill(Collection<Claim> claims, double now) {
-    Map<Machine, List<Order>> byMachine = new LinkedHashMap<>();
+    Map<Machine, List<WorkerCommand>> byMachine = new LinkedHashMap<>();
     for (Claim c : claims) {
       Machine m = world.machines.get(c.machine);
       if (c.phase != Claim.Phase.HELD
@@ -136,7 +138,7 @@
           || now - m.lastReport > world.policy.reportS() * Constants.SILENT_REPORTS) {
         continue;
       }
-      Order.Kill k = killOf(c, now);
+      WorkerCommand.Kill k = killOf(c, now);
       if (k != null
           && now - c.killAt > Constants.KILL_AGAIN_S
           && room(byMachine.get(m))
@@ -148,7 +150,7 @@
     send(byMachine);
   }
 
-  private void send(Map<Machine, List<Order>> byMachine) {
+  private void send(Map<Machine, List<WorkerCommand>> byMachine) {
     byMachine.forEach(
         (m, orders) ->
             world.out.add(new Action.Command(m.name, m.address, m.session, world.term, orders)));
@@ -173,7 +175,7 @@
   }
 
   void launchCommitted(double now) {
-    Map<Machine, List<Order>> byMachine = new LinkedHashMap<>();
+    Map<Machine, List<WorkerCommand>> byMachine = new LinkedHashMap<>();
     // Services first, should there be too many for now: users wait for them most.
     ledger.committed.sort(Comparator.comparing(c -> !c.job.spec.isService()));
     for (Claim c : ledger.committed) {
@@ -208,7 +210,7 @@
         c.launchAt = now;
         byMachine
             .computeIfAbsent(m, x -> new ArrayList<>())
-            .add(new Order.Launch(c.taskId(), c.attempt));
+            .add(new WorkerCommand.Launch(c.taskId(), c.attempt));
       }
     }
     ledger.committed.clear();
--- a/src/main/java/graderelay/mesh/MeshApi.java
+++ b/src/main/java/graderelay/mesh/MeshApi.java
@@ -5,7 +5,7 @@
 import graderelay.net.Exchange;
 import graderelay.net.Exchange.Answer;
 import graderelay.state.Cancellations;
-import graderelay.state.Ownership;
+import graderelay.state.Leadership;
 import graderelay.state.StateClient;
 import graderelay.wire.Json;
 import graderelay.wire.MeshCodec;
@@ -19,7 +19,7 @@
     void accept(String via, byte[] body, Consumer<Answer> to);
   }
 
-  private final Ownership ownership;
+  private final Leadership ownership;
   private final StateClient state;
   private final Cancellations cancellations;
   private final Relayed reports;
@@ -27,7 +27,7 @@
   private final Exchange.Handler users;
 
   public MeshApi(
-      Ownership ownership,
+      Leadership ownership,
       StateClient state,
       Cancellations cancellations,
       Relayed reports,
--- a/src/main/java/graderelay/mesh/Hedge.java
+++ b/src/main/java/graderelay/mesh/RequestHedger.java
@@ -17,7 +17,7 @@
  * refuse, or be slow to, this node alone. Every decision is a conditional write or a fresh read, so
  * whichever answer comes first is right.
  */
-public final class Hedge {
+public final class RequestHedger {
   private static final int REFUSED = 503;
   private static final int TOO_MANY = 429;
 
@@ -39,7 +39,7 @@
    * @param awayForAll whether peers say that they are no better off
    * @param hears whether a member has answered this owner a moment ago
    */
-  public Hedge(
+  public RequestHedger(
       Loop loop,
       MeshClient mesh,
       BooleanSupplier stuck,
--- a/src/main/java/graderelay/service/FleetDuty.java
+++ b/src/main/java/graderelay/service/FleetController.java
@@ -5,19 +5,19 @@
 import graderelay.cloud.CloudClient;
 import graderelay.core.Action;
 import graderelay.core.MachineType;
-import graderelay.core.Order;
 import graderelay.core.Policy;
 import graderelay.core.Report;
 import graderelay.core.Scheduler;
 import graderelay.core.Scheduler.Outcome;
 import graderelay.core.Scheduler.Sent;
 import graderelay.core.SliceKey;
+import graderelay.core.WorkerCommand;
 import graderelay.net.Loop;
 import graderelay.net.TokenBucket.Use;
 import graderelay.state.Cache;
-import graderelay.state.Ends;
-import graderelay.state.Needs;
-import graderelay.state.Ownership;
+import graderelay.state.CancellationResolver;
+import graderelay.state.FinalStateLookup;
+import graderelay.state.Leadership;
 import graderelay.state.StateClient;
 import graderelay.state.StateClient.How;
 import graderelay.wire.Json;
@@ -30,13 +30,13 @@
 import org.slf4j.LoggerFactory;
 
 /** The owner's duty: runs the core for one term of office and carries out what it decides. */
-final class FleetDuty {
+final class FleetController {
   private static final Logger LOG = LoggerFactory.getLogger("fleet");
 
   private final Loop loop;
   private final StateClient state;
   private final Cache cache;
-  private final Ownership ownership;
+  private final Leadership ownership;
   private final CloudClient cloud;
   private final WorkerClient workers;
   private final Scheduler core;
@@ -52,14 +52,14 @@
   private final Metrics metrics;
   private final double startedAt;
   private final Settings.StateLimits least;
-  private final Needs needs;
+  private final CancellationResolver needs;
   private final double listLagS;
 
-  FleetDuty(
+  FleetController(
       Loop loop,
       StateClient state,
       Cache cache,
-      Ownership ownership,
+      Leadership ownership,
       CloudClient cloud,
       WorkerClient workers,
       Policy policy,
@@ -75,7 +75,8 @@
     this.cloud = cloud;
     this.workers = workers;
     this.least = settings.least();
-    this.needs = new Needs(cache, new Ends(loop, state, cache, least.txnOps()));
+    this.needs =
+        new CancellationResolver(cache, new FinalStateLookup(loop, state, cache, least.txnOps()));
     this.operators = operators;
     this.metrics = metrics;
     this.firstTerm = ownership.term();
@@ -177,14 +178,14 @@
   }
 
   /** Takes a report and returns the orders for its response; the caller has checked our hold. */
-  List<Order> onReport(Report r, String via) {
+  List<WorkerCommand> onReport(Report r, String via) {
     double now = loop.now();
     boolean fresh = core.onReport(r, via, now);
     if (core.staleReports() > stale) {
       stale = core.staleReports();
       metrics.count("graderelay.dropped", "what", "stale report");
     }
-    List<Order> orders = core.ordersFor(r, now);
+    List<WorkerCommand> orders = core.ordersFor(r, now);
     if (fresh) {
       core.answered(r.machine(), now);
     }
--- a/src/main/java/graderelay/service/Node.java
+++ b/src/main/java/graderelay/service/Node.java
@@ -6,24 +6,24 @@
 import graderelay.api.UserApi;
 import graderelay.cloud.CloudClient;
 import graderelay.core.MachineType;
-import graderelay.core.Order;
 import graderelay.core.Policy;
 import graderelay.core.Report;
 import graderelay.core.SliceKey;
-import graderelay.mesh.Hedge;
+import graderelay.core.WorkerCommand;
 import graderelay.mesh.MeshApi;
 import graderelay.mesh.MeshClient;
+import graderelay.mesh.RequestHedger;
 import graderelay.net.Exchange;
 import graderelay.net.Exchange.Answer;
 import graderelay.net.Loop;
 import graderelay.net.Transport;
 import graderelay.state.Cache;
 import graderelay.state.Cancellations;
-import graderelay.state.Ownership;
+import graderelay.state.Leadership;
 import graderelay.state.StateClient;
 import graderelay.wire.Json;
 import graderelay.wire.MeshCodec;
-import graderelay.worker.Deputy;
+import graderelay.worker.LeaseDelegate;
 import graderelay.worker.WorkerApi;
 import graderelay.worker.WorkerClient;
 import io.micrometer.core.instrument.Tags;
@@ -47,21 +47,21 @@
   private final StateClient state;
   private final Cache cache;
   private final Cancellations cancellations;
-  private final Ownership ownership;
+  private final Leadership ownership;
   private final CloudClient cloud;
   private final WorkerClient workers;
   private final UserApi users;
   private final WorkerApi reports;
-  private final Deputy deputy;
+  private final LeaseDelegate deputy;
   private final MeshClient mesh;
   private final MeshApi meshApi;
-  private final Hedge hedge;
+  private final RequestHedger hedge;
   private final OperatorSettings defaults;
   private OperatorSettings operators;
   private final Metrics metrics;
   private final AdminApi admin;
   private List<MachineType> types;
-  private FleetDuty duty;
+  private FleetController duty;
   private Loop.Timer typesTimer;
   private Loop.Timer tickTimer;
   private boolean closed;
@@ -88,7 +88,7 @@
     this.cancellations = new Cancellations(loop, cache, s);
     cancellations.listen(this::onCancelled);
     this.ownership =
-        new Ownership(
+        new Leadership(
             loop,
             state,
             cache,
@@ -98,13 +98,13 @@
             mesh,
             cancellations,
             random::nextDouble,
-            new Office());
+            new LeadershipListener());
     this.cloud = new CloudClient(loop, transport, s.cloudAddress(), s.cloudRps());
     this.workers = new WorkerClient(transport);
     this.users =
         new UserApi(loop, state, cache, cancellations, s, () -> types, () -> operators.sliceCap());
     this.deputy =
-        new Deputy(loop, mesh, ownership, cache, state, cancellations, s, random.nextLong());
+        new LeaseDelegate(loop, mesh, ownership, cache, state, cancellations, s, random.nextLong());
     this.reports =
         new WorkerApi(
             loop, ownership, cache, mesh, deputy, cancellations, s.member(), this::onReport);
@@ -120,7 +120,8 @@
             mostSlice(s),
             this::core,
             this::ready);
-    this.hedge = new Hedge(loop, mesh, state::stuck, ownership::awayForAll, ownership::hears);
+    this.hedge =
+        new RequestHedger(loop, mesh, state::stuck, ownership::awayForAll, ownership::hears);
     this.meshApi =
         new MeshApi(
             ownership, state, cancellations, reports::relayed, this::onDeputy, this::handleRelayed);
@@ -238,7 +239,7 @@
     return duty == null ? null : duty.core();
   }
 
-  private List<Order> onReport(Report r, String via) {
+  private List<WorkerCommand> onReport(Report r, String via) {
     // An owner that is still reading the records keeps leases alive, and orders nothing: it counts
     // them from when its duty begins, which is later.
     return duty == null ? List.of() : duty.onReport(r, via);
@@ -361,7 +362,7 @@
 
   // ---------------------------------------------------------------- office and records
 
-  private final class Office implements Ownership.Listener {
+  private final class LeadershipListener implements Leadership.Listener {
     @Override
     public void onWon(long term) {
       metrics.count("graderelay.takeovers", "member", settings.member());
@@ -386,7 +387,7 @@
               return;
             }
             duty =
-                new FleetDuty(
+                new FleetController(
                     loop, state, cache, ownership, cloud, workers, policy(), settings, operators,
                     metrics, random, types);
             duty.start();
--- a/src/main/java/graderelay/state/Needs.java
+++ b/src/main/java/graderelay/state/CancellationResolver.java
@@ -14,7 +14,7 @@
  * alone, so that every controller says so as soon as the one conditional write on the cancelled job
  * has committed, however far the owner is with the ends of those that need it.
  */
-public final class Needs {
+public final class CancellationResolver {
   /** What the records say. */
   public enum Verdict {
     CANCELLED,
@@ -24,9 +24,9 @@
   }
 
   private final Cache cache;
-  private final Ends ends;
+  private final FinalStateLookup ends;
 
-  public Needs(Cache cache, Ends ends) {
+  public CancellationResolver(Cache cache, FinalStateLookup ends) {
     this.cache = cache;
     this.ends = ends;
   }
@@ -80,12 +80,12 @@
   }
 
   private void look(Set<String> ids, Consumer<Boolean> then) {
-    find(List.copyOf(ids), found -> then.accept(!found.contains(Ends.Found.FAILED)));
+    find(List.copyOf(ids), found -> then.accept(!found.contains(FinalStateLookup.Found.FAILED)));
   }
 
   /** Looks for the final records of all of these; the answers come in no order. */
-  public void find(List<String> ids, Consumer<List<Ends.Found>> then) {
-    List<Ends.Found> found = new ArrayList<>();
+  public void find(List<String> ids, Consumer<List<FinalStateLookup.Found>> then) {
+    List<FinalStateLookup.Found> found = new ArrayList<>();
     if (ids.isEmpty()) {
       then.accept(found);
     }
--- a/src/main/java/graderelay/state/Cancellations.java
+++ b/src/main/java/graderelay/state/Cancellations.java
@@ -1,7 +1,7 @@
 package graderelay.state;
 
-import graderelay.core.Order;
 import graderelay.core.Report;
+import graderelay.core.WorkerCommand;
 import graderelay.net.Loop;
 import graderelay.service.Constants;
 import graderelay.service.Settings;
@@ -122,26 +122,26 @@
   }
 
   /** The kills that go with an answer to this report; anybody may order these, at any time. */
-  public List<Order> kills(Report r) {
-    List<Order> kills = new ArrayList<>();
+  public List<WorkerCommand> kills(Report r) {
+    List<WorkerCommand> kills = new ArrayList<>();
     for (Report.Entry e : r.tasks()) {
       if (e.stage() != Report.Stage.EXITED
           && cancelled(e.task().substring(0, Math.max(0, e.task().indexOf('/'))))) {
-        kills.add(new Order.Kill(e.task(), e.attempt(), 0));
+        kills.add(new WorkerCommand.Kill(e.task(), e.attempt(), 0));
       }
     }
     return kills;
   }
 
   /** The same in front of what the owner orders, of which the stopped tasks' part is left out. */
-  public List<Order> withKills(Report r, List<Order> orders) {
-    List<Order> all = kills(r);
+  public List<WorkerCommand> withKills(Report r, List<WorkerCommand> orders) {
+    List<WorkerCommand> all = kills(r);
     if (all.isEmpty()) {
       return orders;
     }
     var killed = new java.util.HashSet<String>();
     all.forEach(o -> killed.add(o.task() + "#" + o.attempt()));
-    for (Order o : orders) {
+    for (WorkerCommand o : orders) {
       if (!killed.contains(o.task() + "#" + o.attempt())) {
         all.add(o);
       }
--- a/src/main/java/graderelay/state/Ends.java
+++ b/src/main/java/graderelay/state/FinalStateLookup.java
@@ -20,7 +20,7 @@
  * about jobs that nobody submitted; one transaction that only compares tells of dozens of ids that
  * they have no final record, so that a storm of such questions costs a few requests a second.
  */
-public final class Ends {
+public final class FinalStateLookup {
   /** What a look found. */
   public enum Found {
     /** The final state is in the cache now. */
@@ -43,7 +43,7 @@
    *
    * @param txnOps changes in one transaction; it may have four times as many conditions
    */
-  public Ends(Loop loop, StateClient state, Cache cache, int txnOps) {
+  public FinalStateLookup(Loop loop, StateClient state, Cache cache, int txnOps) {
     this.loop = loop;
     this.state = state;
     this.cache = cache;
--- a/src/main/java/graderelay/state/Ownership.java
+++ b/src/main/java/graderelay/state/Leadership.java
@@ -22,7 +22,7 @@
  * that stays. We count the hold from the moment its renewal was sent, so that we stop before the
  * state service lets anybody else in.
  */
-public final class Ownership {
+public final class Leadership {
   private static final Logger LOG = LoggerFactory.getLogger("owner");
 
   /** Hears of changes. */
@@ -97,7 +97,7 @@
   /** When our record of leaving our bar was known to stand, or NaN. */
   private double leftAt = Double.NaN;
 
-  public Ownership(
+  public Leadership(
       Loop loop,
       StateClient state,
       Cache cache,
--- a/src/main/java/graderelay/wire/WorkerCodec.java
+++ b/src/main/java/graderelay/wire/WorkerCodec.java
@@ -3,8 +3,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import graderelay.core.Order;
 import graderelay.core.Report;
+import graderelay.core.WorkerCommand;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -84,31 +84,31 @@
         tasks);
   }
 
-  private static ArrayNode orders(List<Order> orders, int most) {
+  private static ArrayNode orders(List<WorkerCommand> orders, int most) {
     ArrayNode a = Json.array();
-    for (Order o : orders) {
+    for (WorkerCommand o : orders) {
       if (a.size() >= most) {
         break; // The rest follows with the next report.
       }
       ObjectNode n = a.addObject();
-      if (o instanceof Order.Kill k) {
+      if (o instanceof WorkerCommand.Kill k) {
         n.put("order", "kill").put("board", o.task()).put("pass", o.attempt());
         n.put("wind_down_s", k.graceS());
       } else {
-        n.put("order", o instanceof Order.Launch ? "launch" : "reap");
+        n.put("order", o instanceof WorkerCommand.Launch ? "launch" : "reap");
         n.put("board", o.task()).put("pass", o.attempt());
       }
     }
     return a;
   }
 
-  public static ObjectNode response(long term, List<Order> orders, int most) {
+  public static ObjectNode response(long term, List<WorkerCommand> orders, int most) {
     ObjectNode n = Json.object().put("foreman", term);
     n.set("orders", orders(orders, most));
     return n;
   }
 
-  public static ObjectNode commands(long term, long session, List<Order> orders) {
+  public static ObjectNode commands(long term, long session, List<WorkerCommand> orders) {
     ObjectNode n = Json.object().put("foreman", term).put("shift", session);
     n.set("orders", orders(orders, Integer.MAX_VALUE));
     return n;
--- a/src/main/java/graderelay/worker/Deputy.java
+++ b/src/main/java/graderelay/worker/LeaseDelegate.java
@@ -9,7 +9,7 @@
 import graderelay.service.Settings;
 import graderelay.state.Cache;
 import graderelay.state.Cancellations;
-import graderelay.state.Ownership;
+import graderelay.state.Leadership;
 import graderelay.state.StateClient;
 import graderelay.wire.MeshCodec;
 import graderelay.wire.StateCodec;
@@ -17,13 +17,13 @@
 /**
  * Keeps the leases of this zone's workers alive while the zone is cut off from the owner and the
  * state service: what runs there goes on, and nothing is ordered. The owner has granted it for a
- * while and counts those leases accordingly, see {@code Deputies}. In a deployment of one zone
- * there is nobody outside to be cut off from, and no deputy.
+ * while and counts those leases accordingly, see {@code LeaseDelegates}. In a deployment of one
+ * zone there is nobody outside to be cut off from, and no deputy.
  */
-public final class Deputy {
+public final class LeaseDelegate {
   private final Loop loop;
   private final MeshClient mesh;
-  private final Ownership ownership;
+  private final Leadership ownership;
   private final Cache cache;
   private final StateClient state;
   private final Cancellations cancellations;
@@ -48,10 +48,10 @@
   private Loop.Timer timer;
   private boolean closed;
 
-  public Deputy(
+  public LeaseDelegate(
       Loop loop,
       MeshClient mesh,
-      Ownership ownership,
+      Leadership ownership,
       Cache cache,
       StateClient state,
       Cancellations cancellations,
--- a/src/main/java/graderelay/worker/WorkerApi.java
+++ b/src/main/java/graderelay/worker/WorkerApi.java
@@ -1,7 +1,7 @@
 package graderelay.worker;
 
-import graderelay.core.Order;
 import graderelay.core.Report;
+import graderelay.core.WorkerCommand;
 import graderelay.mesh.MeshClient;
 import graderelay.net.Exchange;
 import graderelay.net.Exchange.Answer;
@@ -9,7 +9,7 @@
 import graderelay.service.Constants;
 import graderelay.state.Cache;
 import graderelay.state.Cancellations;
-import graderelay.state.Ownership;
+import graderelay.state.Leadership;
 import graderelay.wire.Json;
 import graderelay.wire.MeshCodec;
 import graderelay.wire.StateCodec;
@@ -29,24 +29,24 @@
   private record Pointed(double at, double relayedSince, long session, long seq) {}
 
   private final Loop loop;
-  private final Ownership ownership;
+  private final Leadership ownership;
   private final Cache cache;
   private final MeshClient mesh;
-  private final Deputy deputy;
+  private final LeaseDelegate deputy;
   private final Cancellations cancellations;
   private final String member;
-  private final BiFunction<Report, String, List<Order>> fleet;
+  private final BiFunction<Report, String, List<WorkerCommand>> fleet;
   private final Map<String, Pointed> pointed = new LinkedHashMap<>();
 
   public WorkerApi(
       Loop loop,
-      Ownership ownership,
+      Leadership ownership,
       Cache cache,
       MeshClient mesh,
-      Deputy deputy,
+      LeaseDelegate deputy,
       Cancellations cancellations,
       String member,
-      BiFunction<Report, String, List<Order>> fleet) {
+      BiFunction<Report, String, List<WorkerCommand>> fleet) {
     this.loop = loop;
     this.ownership = ownership;
     this.cache = cache;
@@ -132,7 +132,7 @@
 
   private void answer(Report r, String via, Consumer<Answer> to) {
     boolean may = ownership.entitled() && cancellations.mayRenew();
-    List<Order> orders = may ? fleet.apply(r, via) : null;
+    List<WorkerCommand> orders = may ? fleet.apply(r, via) : null;
     if (orders == null) {
       elsewhere(to, null);
       return;
@@ -141,7 +141,7 @@
   }
 
   /** The answer that renews a lease: whoever gives it has asked {@link Cancellations} before. */
-  private static void renew(Consumer<Answer> to, long term, List<Order> orders) {
+  private static void renew(Consumer<Answer> to, long term, List<WorkerCommand> orders) {
     byte[] body = Json.write(WorkerCodec.response(term, orders, Constants.MOST_ORDERS));
     to.accept(Answer.json(200, body));
   }
--- a/src/test/java/graderelay/DependencyGuardsTest.java
+++ b/src/test/java/graderelay/DependencyGuardsTest.java
@@ -1,6 +1,6 @@
 package graderelay;
 
-import static graderelay.StoryWords.fine;
+import static graderelay.WorldAssertions.fine;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -30,20 +30,21 @@
    */
   @Test
   void dependentsOfACancelledJobEndWhileItsOwnTasksCannotBeProvenGone() {
-    Scheduler scheduler = CoreStories.scheduler(1);
-    CoreStories.machine(scheduler, "n-1", 1, 1, 0);
-    scheduler.onJob(CoreStories.array(CANCELLED, 1), false, 5, 0, 0);
-    JobSpec dependent = CoreStories.array(DEPENDENT, 1);
+    Scheduler scheduler = SchedulerFixture.scheduler(1);
+    SchedulerFixture.machine(scheduler, "n-1", 1, 1, 0);
+    scheduler.onJob(SchedulerFixture.array(CANCELLED, 1), false, 5, 0, 0);
+    JobSpec dependent = SchedulerFixture.array(DEPENDENT, 1);
     scheduler.onJob(dependent.needing(List.of(CANCELLED)), false, 6, 0, 0);
-    CoreStories.commitAll(scheduler, 10, 0.1);
-    assertThat(CoreStories.claimsOf(scheduler, "n-1")).isEqualTo(1);
-    scheduler.onJob(CoreStories.array(CANCELLED, 1), true, 11, 0, 1); // The machine says nothing.
+    SchedulerFixture.commitAll(scheduler, 10, 0.1);
+    assertThat(SchedulerFixture.claimsOf(scheduler, "n-1")).isEqualTo(1);
+    scheduler.onJob(
+        SchedulerFixture.array(CANCELLED, 1), true, 11, 0, 1); // The machine says nothing.
     scheduler.step(1.2);
     assertThat(ends(scheduler)).containsExactly(DEPENDENT);
   }
 
   private static List<String> ends(Scheduler scheduler) {
-    return CoreStories.taken(scheduler).stream()
+    return SchedulerFixture.taken(scheduler).stream()
         .filter(action -> action instanceof Action.Write)
         .flatMap(action -> ((Action.Write) action).ends().stream())
         .map(Action.JobEnd::job)
@@ -59,9 +60,9 @@
   @CsvSource({"false, 290, false", "false, 100, true", "true, 290, false", "true, 100, true"})
   void aDependentsTimesCountFromWhenItCouldBegin(
       boolean takeover, double readyAt, boolean passesOthers) {
-    Scheduler scheduler = CoreStories.takingOver(1);
-    JobSpec dependent = CoreStories.array(DEPENDENT, 4).needing(List.of(CANCELLED));
-    JobSpec other = CoreStories.ranked(OTHER, Priority.NORMAL, 4, null);
+    Scheduler scheduler = SchedulerFixture.takingOver(1);
+    JobSpec dependent = SchedulerFixture.array(DEPENDENT, 4).needing(List.of(CANCELLED));
+    JobSpec other = SchedulerFixture.ranked(OTHER, Priority.NORMAL, 4, null);
     if (takeover) {
       scheduler.onJob(dependent, false, 6, 0, 300);
       scheduler.onJob(other, false, 7, 250, 300);
@@ -69,16 +70,16 @@
       scheduler.onEnd(CANCELLED, false, readyAt, 300);
     } else {
       scheduler.loaded(0);
-      scheduler.onJob(CoreStories.array(CANCELLED, 1), false, 5, 0, 0);
+      scheduler.onJob(SchedulerFixture.array(CANCELLED, 1), false, 5, 0, 0);
       scheduler.onJob(dependent, false, 6, 0, 0);
       scheduler.onEnd(CANCELLED, false, readyAt, readyAt);
       scheduler.onJobGone(CANCELLED, readyAt);
       scheduler.onJob(other, false, 7, 250, 300);
     }
-    CoreStories.machine(scheduler, "n-1", 1, 1, 300); // Room for four.
-    CoreStories.commitAll(scheduler, 10, 300.1);
-    assertThat(CoreStories.tasksStarted(scheduler, DEPENDENT)).isEqualTo(passesOthers ? 4 : 0);
-    assertThat(CoreStories.tasksStarted(scheduler, OTHER)).isEqualTo(passesOthers ? 0 : 4);
+    SchedulerFixture.machine(scheduler, "n-1", 1, 1, 300); // Room for four.
+    SchedulerFixture.commitAll(scheduler, 10, 300.1);
+    assertThat(SchedulerFixture.tasksStarted(scheduler, DEPENDENT)).isEqualTo(passesOthers ? 4 : 0);
+    assertThat(SchedulerFixture.tasksStarted(scheduler, OTHER)).isEqualTo(passesOthers ? 0 : 4);
   }
 
   /** Slices of new jobs fit the limits to come in the form that the version in production reads. */
--- a/src/test/java/graderelay/FleetStoriesTest.java
+++ b/src/test/java/graderelay/FleetStoriesTest.java
@@ -1,8 +1,8 @@
 package graderelay;
 
-import static graderelay.StoryWords.fine;
-import static graderelay.StoryWords.runner;
-import static graderelay.StoryWords.secondsToNextStart;
+import static graderelay.WorldAssertions.fine;
+import static graderelay.WorldAssertions.runner;
+import static graderelay.WorldAssertions.secondsToNextStart;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import graderelay.core.Action;
@@ -30,13 +30,13 @@
 
   @Test
   void aReportThatComesAsLateAsItsIntervalAllowsIsNoSignOfDeafness() {
-    Scheduler s = CoreStories.scheduler(1);
-    CoreStories.machine(s, "n-1", 1, 1, 0);
-    CoreStories.machine(s, "n-1", 1, 2, 4.4); // Its worker stays with us: it took our answer.
-    s.onJob(CoreStories.array("j-1", 1), false, 5, 4.5, 4.5);
-    CoreStories.commitAll(s, 10, 4.6);
-    assertThat(CoreStories.claimsOf(s, "n-1")).isEqualTo(1);
-    assertThat(CoreStories.notes(s)).noneMatch(n -> n.contains("does not hear us"));
+    Scheduler s = SchedulerFixture.scheduler(1);
+    SchedulerFixture.machine(s, "n-1", 1, 1, 0);
+    SchedulerFixture.machine(s, "n-1", 1, 2, 4.4); // Its worker stays with us: it took our answer.
+    s.onJob(SchedulerFixture.array("j-1", 1), false, 5, 4.5, 4.5);
+    SchedulerFixture.commitAll(s, 10, 4.6);
+    assertThat(SchedulerFixture.claimsOf(s, "n-1")).isEqualTo(1);
+    assertThat(SchedulerFixture.notes(s)).noneMatch(n -> n.contains("does not hear us"));
   }
 
   @ParameterizedTest
@@ -63,63 +63,63 @@
 
   @Test
   void aMachineThatDoesNotShowWhatOurAnswerStartedDoesNotHear() {
-    Scheduler s = CoreStories.scheduler(1);
-    CoreStories.machine(s, "n-1", 1, 1, 0);
-    s.onJob(CoreStories.array("j-1", 1), false, 5, 0.1, 0.1);
-    CoreStories.commitAll(s, 10, 0.2);
+    Scheduler s = SchedulerFixture.scheduler(1);
+    SchedulerFixture.machine(s, "n-1", 1, 1, 0);
+    s.onJob(SchedulerFixture.array("j-1", 1), false, 5, 0.1, 0.1);
+    SchedulerFixture.commitAll(s, 10, 0.2);
     // The direct order never left, so the answer to the next report carries the start.
-    for (Action a : CoreStories.taken(s)) {
+    for (Action a : SchedulerFixture.taken(s)) {
       if (a instanceof Action.Command c) {
         s.onSent(c, Scheduler.Sent.NEVER_LEFT, null, 0.3);
       }
     }
-    CoreStories.machine(s, "n-1", 1, 2, 4);
-    assertThat(s.ordersFor(CoreStories.report("n-1", 1, 2, 1), 4)).hasSize(1);
-    CoreStories.machine(s, "n-1", 1, 3, 8);
-    assertThat(CoreStories.notes(s)).anyMatch(n -> n.contains("does not hear us"));
+    SchedulerFixture.machine(s, "n-1", 1, 2, 4);
+    assertThat(s.ordersFor(SchedulerFixture.report("n-1", 1, 2, 1), 4)).hasSize(1);
+    SchedulerFixture.machine(s, "n-1", 1, 3, 8);
+    assertThat(SchedulerFixture.notes(s)).anyMatch(n -> n.contains("does not hear us"));
   }
 
   @Test
   void aMachineThatStillHasTheOldTermAfterOurAnswerDoesNotHear() {
-    Scheduler s = CoreStories.scheduler(7);
+    Scheduler s = SchedulerFixture.scheduler(7);
     for (int seq = 1; seq <= 2; seq++) {
-      s.onReport(CoreStories.report("n-1", 1, seq, 6), seq * 4);
+      s.onReport(SchedulerFixture.report("n-1", 1, seq, 6), seq * 4);
       s.answered("n-1", seq * 4);
     }
-    assertThat(CoreStories.notes(s)).anyMatch(n -> n.contains("does not hear us"));
+    assertThat(SchedulerFixture.notes(s)).anyMatch(n -> n.contains("does not hear us"));
   }
 
   @Test
   void aWorkerWhoseReportWasLostOnTheWayIsNotTakenForDeaf() {
-    Scheduler s = CoreStories.scheduler(1);
-    CoreStories.machine(s, "n-1", 1, 1, 0);
+    Scheduler s = SchedulerFixture.scheduler(1);
+    SchedulerFixture.machine(s, "n-1", 1, 1, 0);
     // Its second report found nobody, so it went on to another controller with the third.
-    s.onReport(CoreStories.report("n-1", 1, 3, 1), "m-2", 9);
+    s.onReport(SchedulerFixture.report("n-1", 1, 3, 1), "m-2", 9);
     s.answered("n-1", 9);
-    assertThat(CoreStories.notes(s)).noneMatch(n -> n.contains("does not hear us"));
+    assertThat(SchedulerFixture.notes(s)).noneMatch(n -> n.contains("does not hear us"));
   }
 
   // ---------------------------------------------------------------- many machines at once
 
   @Test
   void whenHundredsFallSilentThoseWithServicesAreAskedFirst() {
-    Scheduler s = CoreStories.scheduler(1);
+    Scheduler s = SchedulerFixture.scheduler(1);
     for (int i = 0; i < 300; i++) {
-      CoreStories.machine(s, name(i), 1, 1, 0);
+      SchedulerFixture.machine(s, name(i), 1, 1, 0);
     }
-    s.onJob(CoreStories.service("j-1", 24), false, 5, 0.1, 0.1);
-    CoreStories.commitAll(s, 10, 0.2);
+    s.onJob(SchedulerFixture.service("j-1", 24), false, 5, 0.1, 0.1);
+    SchedulerFixture.commitAll(s, 10, 0.2);
     Set<String> hosts = new HashSet<>();
     for (int i = 0; i < 300; i++) {
-      if (CoreStories.claimsOf(s, name(i)) > 0) {
+      if (SchedulerFixture.claimsOf(s, name(i)) > 0) {
         hosts.add(name(i));
       }
     }
     assertThat(hosts).hasSizeGreaterThan(5);
-    CoreStories.taken(s).clear();
+    SchedulerFixture.taken(s).clear();
     s.tick(8); // Nobody has reported for four intervals.
     Set<String> asked = new HashSet<>();
-    for (Action a : CoreStories.taken(s)) {
+    for (Action a : SchedulerFixture.taken(s)) {
       if (a instanceof Action.Command c) {
         asked.add(c.machine());
       }
@@ -131,25 +131,25 @@
 
   @Test
   void whenMachinesDieTheEndsOfReplicasAreWrittenBeforeThoseOfArrays() {
-    Scheduler s = CoreStories.takingOver(1, Map.of(), 10); // Four changes may be under way.
+    Scheduler s = SchedulerFixture.takingOver(1, Map.of(), 10); // Four changes may be under way.
     s.loaded(0);
     for (int i = 0; i < 6; i++) {
-      CoreStories.machine(s, name(i), 1, 1, 0);
+      SchedulerFixture.machine(s, name(i), 1, 1, 0);
     }
     for (int k = 0; k < 9; k++) {
       // The services come last.
       s.onJob(
-          k < 6 ? CoreStories.array("j-a" + k, 2) : CoreStories.service("j-s" + k, 2),
+          k < 6 ? SchedulerFixture.array("j-a" + k, 2) : SchedulerFixture.service("j-s" + k, 2),
           false,
           5,
           0,
           0);
-      CoreStories.commitAll(s, 10 + k, 0.1 + k * 0.1);
+      SchedulerFixture.commitAll(s, 10 + k, 0.1 + k * 0.1);
     }
-    CoreStories.taken(s).clear();
+    SchedulerFixture.taken(s).clear();
     s.tick(60); // Every lease is over.
     List<String> ended = new ArrayList<>();
-    for (Action a : CoreStories.taken(s)) {
+    for (Action a : SchedulerFixture.taken(s)) {
       if (a instanceof Action.Write w) {
         w.slices().forEach(p -> ended.add(p.key().job()));
       }
@@ -177,9 +177,9 @@
   }
 
   private static int ordinary(double wait, double deadline, double submittedAt) {
-    Scheduler s = CoreStories.takingOver(1, Map.of("batch", List.of(wait)));
+    Scheduler s = SchedulerFixture.takingOver(1, Map.of("batch", List.of(wait)));
     s.loaded(0);
-    s.onJob(CoreStories.due("j-1", 20, deadline), false, 5, submittedAt, 0);
+    s.onJob(SchedulerFixture.due("j-1", 20, deadline), false, 5, submittedAt, 0);
     int ordinary = 0;
     for (int i = 1; i < 4; i++) {
       s.tick(i);
@@ -290,14 +290,14 @@
 
   @Test
   void replicasThatOneZoneMayNotTakeAreRentedForInAnother() {
-    Scheduler s = CoreStories.scheduler(1);
-    CoreStories.machine(s, "n-1", 1, 1, 0); // In zone a, with room for all of them.
-    s.onJob(CoreStories.spread("j-1", 2), false, 5, 0.1, 0.1);
-    CoreStories.commitAll(s, 10, 0.2);
-    assertThat(CoreStories.claimsOf(s, "n-1")).isEqualTo(1);
+    Scheduler s = SchedulerFixture.scheduler(1);
+    SchedulerFixture.machine(s, "n-1", 1, 1, 0); // In zone a, with room for all of them.
+    s.onJob(SchedulerFixture.spread("j-1", 2), false, 5, 0.1, 0.1);
+    SchedulerFixture.commitAll(s, 10, 0.2);
+    assertThat(SchedulerFixture.claimsOf(s, "n-1")).isEqualTo(1);
     s.tick(1);
     List<String> zones = new ArrayList<>();
-    for (Action a : CoreStories.taken(s)) {
+    for (Action a : SchedulerFixture.taken(s)) {
       if (a instanceof Action.Hire h) {
         zones.add(h.zone());
       }
--- a/src/test/java/graderelay/GrownStoriesTest.java
+++ b/src/test/java/graderelay/GrownStoriesTest.java
@@ -1,8 +1,8 @@
 package graderelay;
 
-import static graderelay.StoryWords.fine;
-import static graderelay.StoryWords.runner;
-import static graderelay.StoryWords.secondsToNextStart;
+import static graderelay.WorldAssertions.fine;
+import static graderelay.WorldAssertions.runner;
+import static graderelay.WorldAssertions.secondsToNextStart;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import graderelay.core.Action;
@@ -20,41 +20,41 @@
 /** Short stories of the troubles that came with larger fleets, with five controllers. */
 class GrownStoriesTest {
   private static SimWorld world(long seed) {
-    return StoryWords.world(seed, 5);
+    return WorldAssertions.world(seed, 5);
   }
 
   /** A machine that reports, hears the owner and has shown it. */
   private static void hearing(Scheduler s, String name, double now) {
-    CoreStories.machine(s, name, 1, 1, now);
+    SchedulerFixture.machine(s, name, 1, 1, now);
   }
 
   // ---------------------------------------------------------------- a machine that hears nothing
 
   @Test
   void aMachineThatHearsNothingGetsNoNewTasksUntilItHasShownThatItDoes() {
-    Scheduler s = CoreStories.scheduler(1);
+    Scheduler s = SchedulerFixture.scheduler(1);
     hearing(s, "n-1", 0);
     // A worker that took our answer would have stayed with us.
-    s.onReport(CoreStories.report("n-1", 1, 2, 1), "m-1", 5.1);
+    s.onReport(SchedulerFixture.report("n-1", 1, 2, 1), "m-1", 5.1);
     s.answered("n-1", 5.1);
-    s.onJob(CoreStories.array("j-1", 1), false, 5, 5.2, 5.2);
-    CoreStories.commitAll(s, 10, 5.3);
-    assertThat(CoreStories.claimsOf(s, "n-1")).isZero();
+    s.onJob(SchedulerFixture.array("j-1", 1), false, 5, 5.2, 5.2);
+    SchedulerFixture.commitAll(s, 10, 5.3);
+    assertThat(SchedulerFixture.claimsOf(s, "n-1")).isZero();
     // It stays there: the answer that went back that way has arrived.
-    s.onReport(CoreStories.report("n-1", 1, 3, 1), "m-1", 7.1);
+    s.onReport(SchedulerFixture.report("n-1", 1, 3, 1), "m-1", 7.1);
     s.answered("n-1", 7.1);
-    CoreStories.commitAll(s, 11, 7.2);
-    assertThat(CoreStories.claimsOf(s, "n-1")).isEqualTo(1);
+    SchedulerFixture.commitAll(s, 11, 7.2);
+    assertThat(SchedulerFixture.claimsOf(s, "n-1")).isEqualTo(1);
   }
 
   @Test
   void aMachineWhoseLeaseEndsAlthoughItWasAnsweredHearsNothing() {
-    Scheduler s = CoreStories.scheduler(1);
+    Scheduler s = SchedulerFixture.scheduler(1);
     hearing(s, "n-1", 0);
-    CoreStories.machine(s, "n-1", 2, 9, 4);
-    s.onJob(CoreStories.array("j-1", 1), false, 5, 4.1, 4.1);
-    CoreStories.commitAll(s, 10, 4.2);
-    assertThat(CoreStories.claimsOf(s, "n-1")).isZero();
+    SchedulerFixture.machine(s, "n-1", 2, 9, 4);
+    s.onJob(SchedulerFixture.array("j-1", 1), false, 5, 4.1, 4.1);
+    SchedulerFixture.commitAll(s, 10, 4.2);
+    assertThat(SchedulerFixture.claimsOf(s, "n-1")).isZero();
   }
 
   @Test
@@ -77,40 +77,40 @@
 
   @Test
   void aCopyOfThePastPutsOffNoLease() {
-    Scheduler s = CoreStories.scheduler(1);
+    Scheduler s = SchedulerFixture.scheduler(1);
     hearing(s, "n-1", 0);
-    CoreStories.machine(s, "n-1", 1, 2, 2);
+    SchedulerFixture.machine(s, "n-1", 1, 2, 2);
     for (double t = 3; t < 2 + SimWorld.LEASE_S; t += 1) {
-      assertThat(s.onReport(CoreStories.report("n-1", 1, 1, 1), t)).isFalse();
+      assertThat(s.onReport(SchedulerFixture.report("n-1", 1, 1, 1), t)).isFalse();
     }
     s.tick(2 + SimWorld.LEASE_S + 1);
-    assertThat(CoreStories.notes(s)).anyMatch(n -> n.contains("lease of n-1 is over"));
+    assertThat(SchedulerFixture.notes(s)).anyMatch(n -> n.contains("lease of n-1 is over"));
   }
 
   @Test
   void anAnswerToAReportThatADirectOrderOvertookStillCountsForTheLease() {
-    Scheduler s = CoreStories.scheduler(1);
+    Scheduler s = SchedulerFixture.scheduler(1);
     hearing(s, "n-1", 0);
     // The worker's answer to a direct order, sent after its report, comes first.
     var poke = new Action.Command("n-1", "n-1:9000", 1, 1, List.of());
-    s.onSent(poke, Scheduler.Sent.EXECUTED, CoreStories.report("n-1", 1, 3, 1), 4);
-    s.onReport(CoreStories.report("n-1", 1, 2, 1), 4.1); // Answered, so the lease goes on.
+    s.onSent(poke, Scheduler.Sent.EXECUTED, SchedulerFixture.report("n-1", 1, 3, 1), 4);
+    s.onReport(SchedulerFixture.report("n-1", 1, 2, 1), 4.1); // Answered, so the lease goes on.
     s.tick(SimWorld.LEASE_S + 3);
-    assertThat(CoreStories.notes(s)).noneMatch(n -> n.contains("lease of n-1 is over"));
+    assertThat(SchedulerFixture.notes(s)).noneMatch(n -> n.contains("lease of n-1 is over"));
     s.tick(4 + SimWorld.LEASE_S + 1);
-    assertThat(CoreStories.notes(s)).anyMatch(n -> n.contains("lease of n-1 is over"));
+    assertThat(SchedulerFixture.notes(s)).anyMatch(n -> n.contains("lease of n-1 is over"));
   }
 
   @Test
   void afterATakeoverACopyFromAMachineThatIsGoneMakesItNoTarget() {
-    Scheduler s = CoreStories.scheduler(7);
-    s.onReport(CoreStories.report("n-1", 1, 40, 6), 0.5); // From the earlier owner's time.
-    s.onJob(CoreStories.array("j-1", 1), false, 5, 1, 1);
-    CoreStories.commitAll(s, 10, 1.1);
-    assertThat(CoreStories.claimsOf(s, "n-1")).isZero();
-    s.onReport(CoreStories.report("n-1", 1, 41, 7), 1.5); // It has heard of the new term.
-    CoreStories.commitAll(s, 11, 1.6);
-    assertThat(CoreStories.claimsOf(s, "n-1")).isEqualTo(1);
+    Scheduler s = SchedulerFixture.scheduler(7);
+    s.onReport(SchedulerFixture.report("n-1", 1, 40, 6), 0.5); // From the earlier owner's time.
+    s.onJob(SchedulerFixture.array("j-1", 1), false, 5, 1, 1);
+    SchedulerFixture.commitAll(s, 10, 1.1);
+    assertThat(SchedulerFixture.claimsOf(s, "n-1")).isZero();
+    s.onReport(SchedulerFixture.report("n-1", 1, 41, 7), 1.5); // It has heard of the new term.
+    SchedulerFixture.commitAll(s, 11, 1.6);
+    assertThat(SchedulerFixture.claimsOf(s, "n-1")).isEqualTo(1);
   }
 
   @Test
@@ -290,67 +290,67 @@
 
   @Test
   void theNextOwnerKnowsWhichMachinesHaveAnImage() {
-    Scheduler first = CoreStories.scheduler(1);
+    Scheduler first = SchedulerFixture.scheduler(1);
     hearing(first, "n-1", 0);
     hearing(first, "n-2", 0);
-    first.onJob(CoreStories.array("j-1", 1), false, 5, 0, 0);
-    CoreStories.commitAll(first, 10, 0.1);
-    String warm = CoreStories.claimsOf(first, "n-1") == 1 ? "n-1" : "n-2";
-    CoreStories.work(first, warm, 2, 1, 1);
+    first.onJob(SchedulerFixture.array("j-1", 1), false, 5, 0, 0);
+    SchedulerFixture.commitAll(first, 10, 0.1);
+    String warm = SchedulerFixture.claimsOf(first, "n-1") == 1 ? "n-1" : "n-2";
+    SchedulerFixture.work(first, warm, 2, 1, 1);
     first.tick(20);
     Action.KeepImages kept =
         (Action.KeepImages)
-            CoreStories.taken(first).stream()
+            SchedulerFixture.taken(first).stream()
                 .filter(a -> a instanceof Action.KeepImages)
                 .findFirst()
                 .orElseThrow();
-    Scheduler next = CoreStories.takingOver(2);
+    Scheduler next = SchedulerFixture.takingOver(2);
     next.onImages(StateCodec.images(StateCodec.images(kept.machines(), 60)));
     next.loaded(20);
     for (int i = 1; i <= 6; i++) {
-      CoreStories.machine(next, "n-" + i, 1, 9, 20);
+      SchedulerFixture.machine(next, "n-" + i, 1, 9, 20);
     }
-    next.onJob(CoreStories.array("j-2", 3), false, 6, 20, 20);
-    CoreStories.commitAll(next, 11, 20.1);
-    assertThat(CoreStories.claimsOf(next, warm)).isEqualTo(3);
+    next.onJob(SchedulerFixture.array("j-2", 3), false, 6, 20, 20);
+    SchedulerFixture.commitAll(next, 11, 20.1);
+    assertThat(SchedulerFixture.claimsOf(next, warm)).isEqualTo(3);
   }
 
   @Test
   void onAFullFleetASlotGoesToAnArrayWhoseImageIsThere() {
-    Scheduler s = CoreStories.takingOver(1);
+    Scheduler s = SchedulerFixture.takingOver(1);
     s.onImages(Map.of("n-1", List.of("x"), "n-2", List.of("y")));
     s.loaded(0);
     hearing(s, "n-1", 0);
     hearing(s, "n-2", 0);
-    s.onJob(CoreStories.array("j-1", 8, "y"), false, 5, 0, 0);
-    s.onJob(CoreStories.array("j-2", 8, "x"), false, 6, 0, 0);
-    CoreStories.commitAll(s, 10, 0.1);
-    assertThat(CoreStories.tasksStarted(s, "j-1")).isEqualTo(4);
-    assertThat(CoreStories.tasksStarted(s, "j-2")).isEqualTo(4);
-    assertThat(CoreStories.notes(s)).noneMatch(n -> n.contains("to be fetched"));
+    s.onJob(SchedulerFixture.array("j-1", 8, "y"), false, 5, 0, 0);
+    s.onJob(SchedulerFixture.array("j-2", 8, "x"), false, 6, 0, 0);
+    SchedulerFixture.commitAll(s, 10, 0.1);
+    assertThat(SchedulerFixture.tasksStarted(s, "j-1")).isEqualTo(4);
+    assertThat(SchedulerFixture.tasksStarted(s, "j-2")).isEqualTo(4);
+    assertThat(SchedulerFixture.notes(s)).noneMatch(n -> n.contains("to be fetched"));
   }
 
   // ---------------------------------------------------------------- the largest
 
   @Test
   void aLargeArrayBeginsAlthoughSmallerOnesKeepComing() {
-    Scheduler s = CoreStories.takingOver(1, Map.of("batch", List.of(5.0, 20.0)));
+    Scheduler s = SchedulerFixture.takingOver(1, Map.of("batch", List.of(5.0, 20.0)));
     s.loaded(0);
     hearing(s, "n-1", 0);
-    s.onJob(CoreStories.array("j-8", 4), false, 5, 0, 0);
-    CoreStories.commitAll(s, 10, 0.1); // The machine is full before the large one comes.
-    s.onJob(CoreStories.array("j-9", 200), false, 5, 0.2, 0.2);
+    s.onJob(SchedulerFixture.array("j-8", 4), false, 5, 0, 0);
+    SchedulerFixture.commitAll(s, 10, 0.1); // The machine is full before the large one comes.
+    s.onJob(SchedulerFixture.array("j-9", 200), false, 5, 0.2, 0.2);
     double now = 0.2;
     int mark = 10;
-    for (int i = 0; i < 60 && CoreStories.tasksStarted(s, "j-9") == 0; i++) {
+    for (int i = 0; i < 60 && SchedulerFixture.tasksStarted(s, "j-9") == 0; i++) {
       now += 2;
-      s.onJob(CoreStories.array("j-s" + i, 1), false, 5, now, now);
+      s.onJob(SchedulerFixture.array("j-s" + i, 1), false, 5, now, now);
       // One task ends, so there is room for one more of somebody.
-      CoreStories.work(s, "n-1", 2 + 2 * i, 1, now);
-      CoreStories.commitAll(s, mark += 2, now + 0.6);
-      CoreStories.commitAll(s, mark += 2, now + 0.7);
+      SchedulerFixture.work(s, "n-1", 2 + 2 * i, 1, now);
+      SchedulerFixture.commitAll(s, mark += 2, now + 0.6);
+      SchedulerFixture.commitAll(s, mark += 2, now + 0.7);
     }
-    assertThat(CoreStories.tasksStarted(s, "j-9")).isPositive();
+    assertThat(SchedulerFixture.tasksStarted(s, "j-9")).isPositive();
     assertThat(now).isBetween(Constants.WAITING_WINS_S, 120.0);
   }
 
@@ -389,19 +389,24 @@
 
   @Test
   void whatAReportCostsDoesNotGrowWithTheFleet() {
-    Scheduler s = CoreStories.scheduler(1);
+    Scheduler s = SchedulerFixture.scheduler(1);
     int machines = 1600;
     for (int i = 0; i < machines; i++) {
       hearing(s, name(i), 0);
     }
     for (int k = 0; k < 40; k++) {
-      s.onJob(CoreStories.array("j-" + k, 250), false, 5, 0, 0); // Far more than there is room for.
+      s.onJob(
+          SchedulerFixture.array("j-" + k, 250),
+          false,
+          5,
+          0,
+          0); // Far more than there is room for.
     }
     s.step(0.1);
     s.step(0.2);
     long before = s.looked();
     for (int i = 0; i < machines; i++) {
-      s.onReport(CoreStories.report(name(i), 1, 2, 1), 0.3);
+      s.onReport(SchedulerFixture.report(name(i), 1, 2, 1), 0.3);
       s.step(0.3 + i * 1e-5);
     }
     assertThat(s.looked() - before).isZero();
@@ -409,14 +414,14 @@
 
   @Test
   void jobsThatFoundNoRoomAreNotLookedAtAgainWhileNoneWasGivenBack() {
-    Scheduler s = CoreStories.scheduler(1);
+    Scheduler s = SchedulerFixture.scheduler(1);
     for (int i = 0; i < 5; i++) {
       hearing(s, name(i), 0);
     }
     for (int k = 0; k < 40; k++) {
-      s.onJob(CoreStories.array("j-" + k, 10), false, 5, 0, 0);
+      s.onJob(SchedulerFixture.array("j-" + k, 10), false, 5, 0, 0);
     }
-    CoreStories.commitAll(s, 10, 0.1);
+    SchedulerFixture.commitAll(s, 10, 0.1);
     s.step(0.2);
     long before = s.looked();
     for (int i = 0; i < 9; i++) {
@@ -428,14 +433,14 @@
 
   @Test
   void whatARoundCostsGrowsWithTheTasksAndNotWithTheirProductWithTheFleet() {
-    Scheduler s = CoreStories.scheduler(1);
+    Scheduler s = SchedulerFixture.scheduler(1);
     int machines = 1600;
     for (int i = 0; i < machines; i++) {
       hearing(s, name(i), 0);
     }
     s.step(0.1);
     long before = s.looked();
-    s.onJob(CoreStories.array("j-1", 250), false, 5, 0.2, 0.2);
+    s.onJob(SchedulerFixture.array("j-1", 250), false, 5, 0.2, 0.2);
     s.step(0.3);
     // Each machine is looked at a few times for the job, and a few more for each task.
     assertThat(s.looked() - before).isLessThan(4L * machines + 250 * 8);
@@ -443,46 +448,46 @@
 
   @Test
   void settlingALargeArrayTakesOneChangeForManyTasks() {
-    Scheduler s = CoreStories.scheduler(1);
+    Scheduler s = SchedulerFixture.scheduler(1);
     int machines = 60;
     for (int i = 0; i < machines; i++) {
       hearing(s, name(i), 0);
     }
     int tasks = 24; // As many as the team's limit allows at once.
-    s.onJob(CoreStories.array("j-1", tasks), false, 5, 0.1, 0.1);
-    CoreStories.commitAll(s, 10, 0.2);
-    int before = CoreStories.writes(s);
+    s.onJob(SchedulerFixture.array("j-1", tasks), false, 5, 0.1, 0.1);
+    SchedulerFixture.commitAll(s, 10, 0.2);
+    int before = SchedulerFixture.writes(s);
     for (int i = 0; i < machines; i++) {
-      CoreStories.work(s, name(i), 2, 4, 1);
+      SchedulerFixture.work(s, name(i), 2, 4, 1);
     }
-    CoreStories.commitAll(s, 20, 1.7);
-    CoreStories.commitAll(s, 30, 1.9);
-    assertThat(CoreStories.writes(s) - before).isEqualTo(1); // With the job's own end.
-    assertThat(CoreStories.notes(s)).anyMatch(n -> n.contains("j-1 is done"));
+    SchedulerFixture.commitAll(s, 20, 1.7);
+    SchedulerFixture.commitAll(s, 30, 1.9);
+    assertThat(SchedulerFixture.writes(s) - before).isEqualTo(1); // With the job's own end.
+    assertThat(SchedulerFixture.notes(s)).anyMatch(n -> n.contains("j-1 is done"));
   }
 
   @Test
   void endsWaitForTheirShareOfTheChangesSoThatClaimsDoNotQueueBehindThem() {
-    Scheduler s = CoreStories.takingOver(1, Map.of(), 10);
+    Scheduler s = SchedulerFixture.takingOver(1, Map.of(), 10);
     s.loaded(0);
     for (int i = 0; i < 6; i++) {
       hearing(s, name(i), 0);
     }
     for (int k = 0; k < 12; k++) {
-      s.onJob(CoreStories.array("j-" + k, 2), false, 5, 0, 0);
+      s.onJob(SchedulerFixture.array("j-" + k, 2), false, 5, 0, 0);
     }
     int mark = 10;
     for (int i = 0; i < 12; i++) {
-      CoreStories.commitAll(s, mark++, 0.1 + i * 0.1);
+      SchedulerFixture.commitAll(s, mark++, 0.1 + i * 0.1);
     }
     for (int i = 0; i < 6; i++) {
-      CoreStories.work(s, name(i), 2, 2, 3);
+      SchedulerFixture.work(s, name(i), 2, 2, 3);
     }
     s.step(4);
     // Twelve tasks have ended, of many jobs; 0.4 s of ten a second are under way.
-    assertThat(CoreStories.changesOut(s)).isBetween(1, 4);
+    assertThat(SchedulerFixture.changesOut(s)).isBetween(1, 4);
     for (int i = 0; i < 40; i++) {
-      CoreStories.commitAll(s, mark++, 5 + i * 0.1);
+      SchedulerFixture.commitAll(s, mark++, 5 + i * 0.1);
     }
     assertThat(s.teamUse().get("team").cpus()).isGreaterThan(0); // The rest has begun.
   }
--- a/src/test/java/graderelay/MeetingsTest.java
+++ b/src/test/java/graderelay/MeetingsTest.java
@@ -1,7 +1,7 @@
 package graderelay;
 
-import static graderelay.StoryWords.fine;
-import static graderelay.StoryWords.runner;
+import static graderelay.WorldAssertions.fine;
+import static graderelay.WorldAssertions.runner;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -23,7 +23,7 @@
   private static final List<String> ONE_ZONE = List.of("a");
 
   private static SimWorld world(long seed, int size) {
-    return StoryWords.world(seed, size);
+    return WorldAssertions.world(seed, size);
   }
 
   private static SimWorld oneZone(long seed, int size) {
--- a/src/test/java/graderelay/OpsStoriesTest.java
+++ b/src/test/java/graderelay/OpsStoriesTest.java
@@ -1,14 +1,14 @@
 package graderelay;
 
-import static graderelay.StoryWords.fine;
-import static graderelay.StoryWords.world;
+import static graderelay.WorldAssertions.fine;
+import static graderelay.WorldAssertions.world;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import graderelay.core.Action;
-import graderelay.core.Order;
 import graderelay.core.Priority;
 import graderelay.core.Report;
 import graderelay.core.Scheduler;
+import graderelay.core.WorkerCommand;
 import graderelay.service.Constants;
 import graderelay.sim.Rules;
 import graderelay.sim.SimWorld;
@@ -28,13 +28,13 @@
   // ---------------------------------------------------------------- jobs with a mistake
 
   /** What machines were told to start since the last look, by machine. */
-  private static Map<String, List<Order.Launch>> launched(Scheduler s) {
-    Map<String, List<Order.Launch>> by = new TreeMap<>();
-    for (Action a : new ArrayList<>(CoreStories.taken(s))) {
+  private static Map<String, List<WorkerCommand.Launch>> launched(Scheduler s) {
+    Map<String, List<WorkerCommand.Launch>> by = new TreeMap<>();
+    for (Action a : new ArrayList<>(SchedulerFixture.taken(s))) {
       if (a instanceof Action.Command c) {
-        CoreStories.taken(s).remove(a);
-        for (Order o : c.orders()) {
-          if (o instanceof Order.Launch l) {
+        SchedulerFixture.taken(s).remove(a);
+        for (WorkerCommand o : c.orders()) {
+          if (o instanceof WorkerCommand.Launch l) {
             by.computeIfAbsent(c.machine(), k -> new ArrayList<>()).add(l);
           }
         }
@@ -54,12 +54,12 @@
     for (var e : launched(s).entrySet()) {
       String why = whyOn.apply(e.getKey());
       List<Report.Entry> shown = new ArrayList<>();
-      for (Order.Launch l : e.getValue()) {
+      for (WorkerCommand.Launch l : e.getValue()) {
         shown.add(new Report.Entry(l.task(), l.attempt(), Report.Stage.EXITED, why, false));
         n++;
       }
       Report r =
-          CoreStories.report(e.getKey(), 1, seq, s.term(), shown.toArray(new Report.Entry[0]));
+          SchedulerFixture.report(e.getKey(), 1, seq, s.term(), shown.toArray(new Report.Entry[0]));
       s.onReport(r, now);
       s.answered(e.getKey(), now);
     }
@@ -73,34 +73,34 @@
   }
 
   private static Scheduler fleet(int machines) {
-    Scheduler s = CoreStories.scheduler(1);
+    Scheduler s = SchedulerFixture.scheduler(1);
     for (int i = 0; i < machines; i++) {
-      CoreStories.machine(s, "n-" + i, 1, 1, 0);
+      SchedulerFixture.machine(s, "n-" + i, 1, 1, 0);
     }
     return s;
   }
 
   private static void heard(Scheduler s, int machines, long seq, double now) {
     for (int i = 0; i < machines; i++) {
-      CoreStories.machine(s, "n-" + i, 1, seq, now);
+      SchedulerFixture.machine(s, "n-" + i, 1, seq, now);
     }
   }
 
   @Test
   void anArrayWithAMistakeCostsNoMachineAndIsTriedOneTaskAtATime() {
     Scheduler s = fleet(6);
-    s.onJob(CoreStories.array("j-1", 24), false, 5, 0.1, 0.1);
-    CoreStories.commitAll(s, 10, 0.2);
+    s.onJob(SchedulerFixture.array("j-1", 24), false, 5, 0.1, 0.1);
+    SchedulerFixture.commitAll(s, 10, 0.2);
     assertThat(end(s, "error", 2, 0.5)).isEqualTo(24);
     assertThat(quarantined(s, 0.5)).isZero();
-    CoreStories.commitAll(s, 11, 0.6);
+    SchedulerFixture.commitAll(s, 11, 0.6);
     assertThat(launched(s)).isEmpty();
     List<Double> tries = new ArrayList<>();
     long seq = 3;
     for (double now = 1; now < 120; now += 1) {
       heard(s, 6, seq++, now);
       s.tick(now);
-      CoreStories.commitAll(s, (long) (100 + now), now + 0.1);
+      SchedulerFixture.commitAll(s, (long) (100 + now), now + 0.1);
       int n = end(s, "error", seq++, now + 0.4);
       assertThat(n).isLessThanOrEqualTo(1);
       if (n > 0) {
@@ -109,21 +109,21 @@
     }
     assertThat(tries).hasSizeBetween(4, 9); // Two seconds, then twice as long each time.
     assertThat(quarantined(s, 120)).isZero();
-    assertThat(CoreStories.notes(s)).noneMatch(x -> x.contains("fails tasks of several jobs"));
+    assertThat(SchedulerFixture.notes(s)).noneMatch(x -> x.contains("fails tasks of several jobs"));
   }
 
   @Test
   void aMachineThatFailsEverythingIsFoundAmongJobsWithAMistake() {
     Scheduler s = fleet(6);
-    s.onJob(CoreStories.array("j-1", 24), false, 5, 0.1, 0.1);
-    CoreStories.commitAll(s, 10, 0.2);
+    s.onJob(SchedulerFixture.array("j-1", 24), false, 5, 0.1, 0.1);
+    SchedulerFixture.commitAll(s, 10, 0.2);
     end(s, "error", 2, 0.5);
     // Two sound jobs, of which only what runs on n-0 fails.
     for (int k = 2; k <= 4; k++) {
-      s.onJob(CoreStories.array("j-" + k, 8), false, 5, 1.0 + k, 1.0 + k);
-      CoreStories.commitAll(s, 10 + k, 1.1 + k);
+      s.onJob(SchedulerFixture.array("j-" + k, 8), false, 5, 1.0 + k, 1.0 + k);
+      SchedulerFixture.commitAll(s, 10 + k, 1.1 + k);
       end(s, machine -> machine.equals("n-0") ? "error" : "done", 10 + k, 1.5 + k);
-      CoreStories.commitAll(s, 20 + k, 1.6 + k);
+      SchedulerFixture.commitAll(s, 20 + k, 1.6 + k);
     }
     assertThat(s.machines(6).stream().filter(m -> !m.state().equals("up")).map(m -> m.name()))
         .containsExactly("n-0");
@@ -132,8 +132,8 @@
   @Test
   void aJobWhoseFirstTriesMetOnlySickMachinesIsSoonTriedInFull() {
     Scheduler s = fleet(3);
-    s.onJob(CoreStories.array("j-1", 12), false, 5, 0.1, 0.1);
-    CoreStories.commitAll(s, 10, 0.2);
+    s.onJob(SchedulerFixture.array("j-1", 12), false, 5, 0.1, 0.1);
+    SchedulerFixture.commitAll(s, 10, 0.2);
     assertThat(end(s, "error", 2, 0.5)).isEqualTo(12);
     // The machines are well again, or others have come.
     long seq = 3;
@@ -141,7 +141,7 @@
     for (double now = 1; now < 14 && most < 2; now += 0.5) {
       heard(s, 3, seq++, now);
       s.tick(now);
-      CoreStories.commitAll(s, (long) (100 + now * 2), now + 0.1);
+      SchedulerFixture.commitAll(s, (long) (100 + now * 2), now + 0.1);
       most = Math.max(most, end(s, "done", seq++, now + 0.3));
     }
     assertThat(most).isEqualTo(11); // One task showed that it can run.
@@ -150,22 +150,22 @@
   @Test
   void aJobWithAMistakeRentsNoMachinesAndTakesNoRoomFromOthers() {
     Scheduler s = fleet(6);
-    s.onJob(CoreStories.array("j-1", 24), false, 5, 0.1, 0.1);
-    CoreStories.commitAll(s, 10, 0.2);
+    s.onJob(SchedulerFixture.array("j-1", 24), false, 5, 0.1, 0.1);
+    SchedulerFixture.commitAll(s, 10, 0.2);
     end(s, "error", 2, 0.5);
     s.tick(1);
     // Sound work takes all the room, so that the broken job would have to rent or to preempt.
-    s.onJob(CoreStories.array("j-2", 24), false, 6, 1.1, 1.1);
-    CoreStories.commitAll(s, 11, 1.2);
-    CoreStories.taken(s).clear();
+    s.onJob(SchedulerFixture.array("j-2", 24), false, 6, 1.1, 1.1);
+    SchedulerFixture.commitAll(s, 11, 1.2);
+    SchedulerFixture.taken(s).clear();
     long seq = 3;
     for (double now = 2; now < 40; now += 1) {
       heard(s, 6, seq++, now);
       s.tick(now);
-      CoreStories.commitAll(s, (long) (100 + now), now + 0.1);
+      SchedulerFixture.commitAll(s, (long) (100 + now), now + 0.1);
     }
-    assertThat(CoreStories.taken(s)).noneMatch(a -> a instanceof Action.Hire);
-    assertThat(CoreStories.notes(s)).noneMatch(x -> x.startsWith("preempt"));
+    assertThat(SchedulerFixture.taken(s)).noneMatch(a -> a instanceof Action.Hire);
+    assertThat(SchedulerFixture.notes(s)).noneMatch(x -> x.startsWith("preempt"));
   }
 
   @Test
@@ -286,9 +286,9 @@
   /** Machines rented in one plan, answered with new names; returns them. */
   private static List<String> hired(Scheduler s, double now) {
     List<String> names = new ArrayList<>();
-    for (Action a : new ArrayList<>(CoreStories.taken(s))) {
+    for (Action a : new ArrayList<>(SchedulerFixture.taken(s))) {
       if (a instanceof Action.Hire h) {
-        CoreStories.taken(s).remove(a);
+        SchedulerFixture.taken(s).remove(a);
         List<String> some = new ArrayList<>();
         for (int i = 0; i < h.count(); i++) {
           some.add("h-" + (int) (now * 10) + "-" + h.id() + "-" + i);
@@ -302,7 +302,7 @@
 
   private static List<String> givenBack(Scheduler s) {
     List<String> names = new ArrayList<>();
-    for (Action a : CoreStories.taken(s)) {
+    for (Action a : SchedulerFixture.taken(s)) {
       if (a instanceof Action.GiveBack g) {
         names.addAll(g.machines());
       }
@@ -312,8 +312,8 @@
 
   @Test
   void workThatWaitsForAMachineWhichOthersHaveOvertakenGetsAnother() {
-    Scheduler s = CoreStories.scheduler(1);
-    s.onJob(CoreStories.array("j-1", 24), false, 5, 0.1, 0.1);
+    Scheduler s = SchedulerFixture.scheduler(1);
+    s.onJob(SchedulerFixture.array("j-1", 24), false, 5, 0.1, 0.1);
     s.tick(1);
     List<String> first = hired(s, 1.2);
     assertThat(first).hasSizeGreaterThanOrEqualTo(6);
@@ -322,11 +322,11 @@
     int more = 0;
     for (double now = 6; now < 24; now += 1) {
       for (String m : first.subList(1, first.size())) {
-        CoreStories.machine(s, m, 1, seq, now);
+        SchedulerFixture.machine(s, m, 1, seq, now);
       }
       seq++;
       s.tick(now);
-      CoreStories.commitAll(s, (long) (100 + now), now + 0.1);
+      SchedulerFixture.commitAll(s, (long) (100 + now), now + 0.1);
       more += hired(s, now + 0.2).size();
     }
     assertThat(more).isEqualTo(1);
@@ -337,8 +337,8 @@
 
   @Test
   void whenAllBootsAreSlowMachinesAreNotRentedAndGivenUpInTurn() {
-    Scheduler s = CoreStories.scheduler(1);
-    s.onJob(CoreStories.array("j-1", 24), false, 5, 0.1, 0.1);
+    Scheduler s = SchedulerFixture.scheduler(1);
+    s.onJob(SchedulerFixture.array("j-1", 24), false, 5, 0.1, 0.1);
     s.tick(1);
     List<String> first = hired(s, 1.2);
     int more = 0;
@@ -349,25 +349,25 @@
     assertThat(givenBack(s)).isEmpty();
     assertThat(more).isLessThan(first.size());
     for (String m : first) {
-      CoreStories.machine(s, m, 1, 1, 100);
+      SchedulerFixture.machine(s, m, 1, 1, 100);
     }
     for (String m : first) {
-      CoreStories.machine(s, m, 1, 2, 101);
+      SchedulerFixture.machine(s, m, 1, 2, 101);
     }
-    CoreStories.commitAll(s, 200, 101.1);
-    assertThat(CoreStories.launches(s)).isEqualTo(24);
+    SchedulerFixture.commitAll(s, 200, 101.1);
+    assertThat(SchedulerFixture.launches(s)).isEqualTo(24);
   }
 
   @Test
   void aMachineThatIsUpBeforeItsRentalIsAnsweredGetsWork() {
-    Scheduler s = CoreStories.scheduler(1);
-    s.onJob(CoreStories.array("j-1", 4), false, 5, 0.1, 0.1);
+    Scheduler s = SchedulerFixture.scheduler(1);
+    s.onJob(SchedulerFixture.array("j-1", 4), false, 5, 0.1, 0.1);
     s.tick(1);
-    CoreStories.machine(s, "n-1", 1, 1, 1.3);
-    CoreStories.commitAll(s, 10, 1.4);
-    assertThat(CoreStories.launches(s)).isEqualTo(4);
+    SchedulerFixture.machine(s, "n-1", 1, 1, 1.3);
+    SchedulerFixture.commitAll(s, 10, 1.4);
+    assertThat(SchedulerFixture.launches(s)).isEqualTo(4);
     hired(s, 2); // And what the answer names beside it is known as well.
-    assertThat(CoreStories.claimsOf(s, "n-1")).isEqualTo(4);
+    assertThat(SchedulerFixture.claimsOf(s, "n-1")).isEqualTo(4);
   }
 
   // ---------------------------------------------------------------- questions, many times as often
@@ -435,66 +435,66 @@
    */
   private static Scheduler fullWith(int lower) {
     Scheduler s = fleet(5);
-    s.onJob(CoreStories.ranked("j-1", Priority.LOW, lower, null), false, 5, 0.1, 0.1);
-    CoreStories.commitAll(s, 10, 0.2);
-    s.onJob(CoreStories.array("j-2", 20 - lower), false, 6, 0.3, 0.3);
-    CoreStories.commitAll(s, 11, 0.4);
+    s.onJob(SchedulerFixture.ranked("j-1", Priority.LOW, lower, null), false, 5, 0.1, 0.1);
+    SchedulerFixture.commitAll(s, 10, 0.2);
+    s.onJob(SchedulerFixture.array("j-2", 20 - lower), false, 6, 0.3, 0.3);
+    SchedulerFixture.commitAll(s, 11, 0.4);
     return s;
   }
 
   private static long preempted(Scheduler s) {
-    return CoreStories.notes(s).stream().filter(x -> x.startsWith("preempt")).count();
+    return SchedulerFixture.notes(s).stream().filter(x -> x.startsWith("preempt")).count();
   }
 
   @Test
   void aLittleLowerWorkIsNotStoppedForArraysButForServicesItIs() {
     Scheduler s = fullWith(2);
-    s.onJob(CoreStories.ranked("j-3", Priority.URGENT, 4, null), false, 7, 0.5, 0.5);
-    CoreStories.commitAll(s, 12, 0.6);
+    s.onJob(SchedulerFixture.ranked("j-3", Priority.URGENT, 4, null), false, 7, 0.5, 0.5);
+    SchedulerFixture.commitAll(s, 12, 0.6);
     // What is normal is far more than a tenth, so that it yields, and the little below it first.
     assertThat(preempted(s)).isEqualTo(4);
     Scheduler t = fullWith(2);
-    t.onJob(CoreStories.array("j-3", 4), false, 7, 0.5, 0.5);
-    CoreStories.commitAll(t, 12, 0.6);
+    t.onJob(SchedulerFixture.array("j-3", 4), false, 7, 0.5, 0.5);
+    SchedulerFixture.commitAll(t, 12, 0.6);
     assertThat(preempted(t)).isZero();
-    t.onJob(CoreStories.service("j-4", 1), false, 8, 0.7, 0.7);
-    CoreStories.commitAll(t, 13, 0.8);
+    t.onJob(SchedulerFixture.service("j-4", 1), false, 8, 0.7, 0.7);
+    SchedulerFixture.commitAll(t, 13, 0.8);
     assertThat(preempted(t)).isEqualTo(1);
   }
 
   @Test
   void muchLowerWorkYieldsUntilLittleIsLeft() {
     Scheduler s = fullWith(12);
-    s.onJob(CoreStories.array("j-3", 4), false, 7, 0.5, 0.5);
-    CoreStories.commitAll(s, 12, 0.6);
+    s.onJob(SchedulerFixture.array("j-3", 4), false, 7, 0.5, 0.5);
+    SchedulerFixture.commitAll(s, 12, 0.6);
     assertThat(preempted(s)).isEqualTo(4);
   }
 
   @Test
   void workWithTimeBeforeItsDeadlineStopsNobodyUntilItPresses() {
     Scheduler s = fleet(5);
-    s.onJob(CoreStories.ranked("j-1", Priority.LOW, 20, null), false, 5, 0.1, 0.1);
-    CoreStories.commitAll(s, 10, 0.2);
+    s.onJob(SchedulerFixture.ranked("j-1", Priority.LOW, 20, null), false, 5, 0.1, 0.1);
+    SchedulerFixture.commitAll(s, 10, 0.2);
     // The team's guarantee of 8 is used up; the estimate is ten seconds.
-    s.onJob(CoreStories.ranked("j-2", Priority.NORMAL, 4, 60.0), false, 6, 0.3, 0.3);
+    s.onJob(SchedulerFixture.ranked("j-2", Priority.NORMAL, 4, 60.0), false, 6, 0.3, 0.3);
     s.tick(1);
-    CoreStories.commitAll(s, 11, 1.1);
+    SchedulerFixture.commitAll(s, 11, 1.1);
     assertThat(preempted(s)).isZero();
     heard(s, 5, 2, 45);
     s.tick(45);
-    CoreStories.commitAll(s, 12, 45.1);
+    SchedulerFixture.commitAll(s, 12, 45.1);
     assertThat(preempted(s)).isEqualTo(4);
   }
 
   @Test
   void aMachineGetsNoMoreTasksThanItsReportCanName() {
     Scheduler s = fleet(2);
-    s.onJob(CoreStories.tiny("j-1", 3000), false, 5, 0.1, 0.1);
+    s.onJob(SchedulerFixture.tiny("j-1", 3000), false, 5, 0.1, 0.1);
     for (int i = 0; i < 20; i++) {
-      CoreStories.commitAll(s, 10 + i, 0.2 + i * 0.1);
+      SchedulerFixture.commitAll(s, 10 + i, 0.2 + i * 0.1);
     }
     for (int i = 0; i < 2; i++) {
-      assertThat(CoreStories.claimsOf(s, "n-" + i)).isEqualTo(Constants.MOST_ON_MACHINE);
+      assertThat(SchedulerFixture.claimsOf(s, "n-" + i)).isEqualTo(Constants.MOST_ON_MACHINE);
     }
     s.tick(3);
     // And the plan knows it: for what is left it rents as many machines as that takes.
@@ -503,55 +503,56 @@
 
   @Test
   void aLeaseThatEndsJustAsANewOwnerAnswersIsNoSignOfDeafness() {
-    Scheduler s = CoreStories.scheduler(7);
-    s.onReport(CoreStories.report("n-1", 1, 90, 6), 1);
+    Scheduler s = SchedulerFixture.scheduler(7);
+    s.onReport(SchedulerFixture.report("n-1", 1, 90, 6), 1);
     s.answered("n-1", 1);
     // It dropped the answer: its lease had ended while the answer was on its way.
-    s.onReport(CoreStories.report("n-1", 2, 91, 6), 2);
-    assertThat(CoreStories.notes(s)).noneMatch(n -> n.contains("does not hear us"));
+    s.onReport(SchedulerFixture.report("n-1", 2, 91, 6), 2);
+    assertThat(SchedulerFixture.notes(s)).noneMatch(n -> n.contains("does not hear us"));
     s.answered("n-1", 2);
-    s.onReport(CoreStories.report("n-1", 2, 92, 7), 4);
+    s.onReport(SchedulerFixture.report("n-1", 2, 92, 7), 4);
     s.answered("n-1", 4);
-    s.onReport(CoreStories.report("n-1", 3, 93, 7), 6);
-    assertThat(CoreStories.notes(s)).anyMatch(n -> n.contains("does not hear us"));
+    s.onReport(SchedulerFixture.report("n-1", 3, 93, 7), 6);
+    assertThat(SchedulerFixture.notes(s)).anyMatch(n -> n.contains("does not hear us"));
   }
 
   @Test
   void aGuestsJobBeginsWithinFourMinutesAlthoughWorkAboveItFillsTheFleet() {
     Scheduler s = fleet(1);
-    s.onJob(CoreStories.ranked("j-1", Priority.URGENT, 24, null), false, 5, 0.1, 0.1);
-    CoreStories.commitAll(s, 10, 0.2);
-    s.onJob(CoreStories.ranked("j-2", Priority.LOW, 50, null), false, 6, 0.3, 0.3);
+    s.onJob(SchedulerFixture.ranked("j-1", Priority.URGENT, 24, null), false, 5, 0.1, 0.1);
+    SchedulerFixture.commitAll(s, 10, 0.2);
+    s.onJob(SchedulerFixture.ranked("j-2", Priority.LOW, 50, null), false, 6, 0.3, 0.3);
     long seq = 2;
     for (double now = 1; now < 240; now += 2) {
       // One task ends every few seconds, and there is always another urgent one.
-      CoreStories.work(s, "n-0", seq, now % 11 < 2 ? 1 : 0, now);
+      SchedulerFixture.work(s, "n-0", seq, now % 11 < 2 ? 1 : 0, now);
       seq += 2;
-      s.onJob(CoreStories.ranked("j-9" + (int) now, Priority.URGENT, 1, null), false, 7, now, now);
-      CoreStories.commitAll(s, 20 + (long) now, now + 0.7);
+      s.onJob(
+          SchedulerFixture.ranked("j-9" + (int) now, Priority.URGENT, 1, null), false, 7, now, now);
+      SchedulerFixture.commitAll(s, 20 + (long) now, now + 0.7);
     }
-    assertThat(CoreStories.tasksStarted(s, "j-2")).isEqualTo(1);
+    assertThat(SchedulerFixture.tasksStarted(s, "j-2")).isEqualTo(1);
   }
 
   @Test
   void lowerWorkDoesNotTakeTheRoomOfTasksWhoseRecordIsBeingChanged() {
     Scheduler s = fleet(5);
     // One task of the urgent array fits at first, so that its record is on the way for the rest.
-    s.onJob(CoreStories.ranked("j-0", Priority.URGENT, 19, null), false, 5, 0.1, 0.1);
-    CoreStories.commitAll(s, 10, 0.2);
-    s.onJob(CoreStories.ranked("j-1", Priority.URGENT, 4, null), false, 6, 0.3, 0.3);
+    s.onJob(SchedulerFixture.ranked("j-0", Priority.URGENT, 19, null), false, 5, 0.1, 0.1);
+    SchedulerFixture.commitAll(s, 10, 0.2);
+    s.onJob(SchedulerFixture.ranked("j-1", Priority.URGENT, 4, null), false, 6, 0.3, 0.3);
     s.step(0.4); // Its first claim is sent, and not answered.
-    s.onJob(CoreStories.ranked("j-2", Priority.LOW, 100, null), false, 7, 0.5, 0.5);
+    s.onJob(SchedulerFixture.ranked("j-2", Priority.LOW, 100, null), false, 7, 0.5, 0.5);
     s.step(0.6);
-    int before = CoreStories.changesOut(s);
+    int before = SchedulerFixture.changesOut(s);
     // A machine comes up: its room belongs to the three that wait for the answer, and one is left.
-    CoreStories.machine(s, "n-5", 1, 1, 0.7);
+    SchedulerFixture.machine(s, "n-5", 1, 1, 0.7);
     s.step(0.8);
-    assertThat(CoreStories.changesOut(s) - before).isEqualTo(1);
-    CoreStories.commitAll(s, 11, 0.9);
-    CoreStories.commitAll(s, 12, 1.0);
-    assertThat(CoreStories.tasksStarted(s, "j-1")).isEqualTo(4);
-    assertThat(CoreStories.tasksStarted(s, "j-2")).isEqualTo(1);
+    assertThat(SchedulerFixture.changesOut(s) - before).isEqualTo(1);
+    SchedulerFixture.commitAll(s, 11, 0.9);
+    SchedulerFixture.commitAll(s, 12, 1.0);
+    assertThat(SchedulerFixture.tasksStarted(s, "j-1")).isEqualTo(4);
+    assertThat(SchedulerFixture.tasksStarted(s, "j-2")).isEqualTo(1);
     assertThat(preempted(s)).isZero();
   }
 
@@ -559,13 +560,13 @@
   void noRoomIsKeptForTasksThatTheirTeamsLimitKeepsFromRunning() {
     Scheduler s = fleet(7);
     // The team may have 24 of the 28 slots.
-    s.onJob(CoreStories.ranked("j-0", Priority.URGENT, 60, null), false, 5, 0.1, 0.1);
+    s.onJob(SchedulerFixture.ranked("j-0", Priority.URGENT, 60, null), false, 5, 0.1, 0.1);
     s.step(0.2); // Its record is on the way, with 36 tasks still open.
-    int before = CoreStories.changesOut(s);
-    s.onJob(CoreStories.guests("j-1", 4), false, 6, 0.3, 0.3);
+    int before = SchedulerFixture.changesOut(s);
+    s.onJob(SchedulerFixture.guests("j-1", 4), false, 6, 0.3, 0.3);
     s.step(0.4);
-    assertThat(CoreStories.changesOut(s) - before).isEqualTo(1);
-    CoreStories.commitAll(s, 11, 0.5);
-    assertThat(CoreStories.tasksStarted(s, "j-1")).isEqualTo(4);
+    assertThat(SchedulerFixture.changesOut(s) - before).isEqualTo(1);
+    SchedulerFixture.commitAll(s, 11, 0.5);
+    assertThat(SchedulerFixture.tasksStarted(s, "j-1")).isEqualTo(4);
   }
 }
--- a/src/test/java/graderelay/PipelinesTest.java
+++ b/src/test/java/graderelay/PipelinesTest.java
@@ -1,7 +1,7 @@
 package graderelay;
 
-import static graderelay.StoryWords.fine;
-import static graderelay.StoryWords.world;
+import static graderelay.WorldAssertions.fine;
+import static graderelay.WorldAssertions.world;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -134,20 +134,20 @@
 
   @Test
   void aReportOfTheLastTaskAloneStartsNothing() {
-    Scheduler s = CoreStories.scheduler(1);
-    CoreStories.machine(s, "n-1", 1, 1, 0);
-    s.onJob(CoreStories.array("j-1", 1), false, 5, 0, 0);
-    s.onJob(CoreStories.array("j-2", 1).needing(List.of("j-1")), false, 6, 0, 0);
-    CoreStories.commitAll(s, 10, 0.1);
-    assertThat(CoreStories.claimsOf(s, "n-1")).isEqualTo(1);
-    CoreStories.work(s, "n-1", 2, 1, 5);
+    Scheduler s = SchedulerFixture.scheduler(1);
+    SchedulerFixture.machine(s, "n-1", 1, 1, 0);
+    s.onJob(SchedulerFixture.array("j-1", 1), false, 5, 0, 0);
+    s.onJob(SchedulerFixture.array("j-2", 1).needing(List.of("j-1")), false, 6, 0, 0);
+    SchedulerFixture.commitAll(s, 10, 0.1);
+    assertThat(SchedulerFixture.claimsOf(s, "n-1")).isEqualTo(1);
+    SchedulerFixture.work(s, "n-1", 2, 1, 5);
     s.step(5.7); // The end is on its way to the state service, no more.
-    CoreStories.work(s, "n-1", 4, 0, 6);
+    SchedulerFixture.work(s, "n-1", 4, 0, 6);
     s.step(6.7);
     assertThat(s.whyWaiting("j-2")).contains("j-1");
-    CoreStories.commitAll(s, 11, 7);
-    CoreStories.commitAll(s, 12, 7.2);
-    assertThat(CoreStories.tasksStarted(s, "j-2")).isEqualTo(1);
+    SchedulerFixture.commitAll(s, 11, 7);
+    SchedulerFixture.commitAll(s, 12, 7.2);
+    assertThat(SchedulerFixture.tasksStarted(s, "j-2")).isEqualTo(1);
   }
 
   @Test
@@ -172,55 +172,55 @@
 
   @Test
   void aWaitingJobIsNoDemandAndStopsNobody() {
-    Scheduler s = CoreStories.scheduler(1);
-    CoreStories.machine(s, "n-1", 1, 1, 0);
-    s.onJob(CoreStories.ranked("j-1", Priority.LOW, 4, null), false, 5, 0, 0);
-    CoreStories.commitAll(s, 10, 0.1);
-    JobSpec urgent = CoreStories.ranked("j-2", Priority.URGENT, 40, 300.0);
+    Scheduler s = SchedulerFixture.scheduler(1);
+    SchedulerFixture.machine(s, "n-1", 1, 1, 0);
+    s.onJob(SchedulerFixture.ranked("j-1", Priority.LOW, 4, null), false, 5, 0, 0);
+    SchedulerFixture.commitAll(s, 10, 0.1);
+    JobSpec urgent = SchedulerFixture.ranked("j-2", Priority.URGENT, 40, 300.0);
     s.onJob(urgent.needing(List.of("j-1")), false, 6, 0.2, 0.2);
     for (int i = 1; i < 400; i += 10) {
-      CoreStories.machine(s, "n-1", 1, 1 + i, i);
+      SchedulerFixture.machine(s, "n-1", 1, 1 + i, i);
       s.tick(i);
     }
-    assertThat(CoreStories.notes(s)).noneMatch(n -> n.contains("preempt"));
-    assertThat(CoreStories.taken(s)).noneMatch(a -> a instanceof Action.Hire);
+    assertThat(SchedulerFixture.notes(s)).noneMatch(n -> n.contains("preempt"));
+    assertThat(SchedulerFixture.taken(s)).noneMatch(a -> a instanceof Action.Hire);
     assertThat(s.whyWaiting("j-2")).contains("j-1");
   }
 
   @Test
   void whatIsNeededByAnUrgentJobGoesBeforeOthersAndByItsDeadline() {
-    Scheduler s = CoreStories.scheduler(1);
-    s.onJob(CoreStories.ranked("j-1", Priority.NORMAL, 4, null), false, 5, 0, 0);
-    s.onJob(CoreStories.ranked("j-2", Priority.LOW, 4, null), false, 6, 0, 0);
-    JobSpec middle = CoreStories.ranked("j-3", Priority.LOW, 1, null);
+    Scheduler s = SchedulerFixture.scheduler(1);
+    s.onJob(SchedulerFixture.ranked("j-1", Priority.NORMAL, 4, null), false, 5, 0, 0);
+    s.onJob(SchedulerFixture.ranked("j-2", Priority.LOW, 4, null), false, 6, 0, 0);
+    JobSpec middle = SchedulerFixture.ranked("j-3", Priority.LOW, 1, null);
     s.onJob(middle.needing(List.of("j-2")), false, 7, 0, 0);
-    JobSpec last = CoreStories.ranked("j-4", Priority.URGENT, 1, 50.0);
+    JobSpec last = SchedulerFixture.ranked("j-4", Priority.URGENT, 1, 50.0);
     s.onJob(last.needing(List.of("j-3")), false, 8, 0, 0);
-    CoreStories.machine(s, "n-1", 1, 1, 0); // Room for four.
-    CoreStories.commitAll(s, 10, 0.1);
-    assertThat(CoreStories.tasksStarted(s, "j-2")).isEqualTo(4);
-    assertThat(CoreStories.tasksStarted(s, "j-1")).isZero();
+    SchedulerFixture.machine(s, "n-1", 1, 1, 0); // Room for four.
+    SchedulerFixture.commitAll(s, 10, 0.1);
+    assertThat(SchedulerFixture.tasksStarted(s, "j-2")).isEqualTo(4);
+    assertThat(SchedulerFixture.tasksStarted(s, "j-1")).isZero();
   }
 
   @Test
   void whatIsNeededUrgentlyButNotYetStopsNoOrdinaryWork() {
-    Scheduler s = CoreStories.scheduler(1);
-    CoreStories.machine(s, "n-1", 1, 1, 0); // Room for four.
-    s.onJob(CoreStories.ranked("j-1", Priority.NORMAL, 4, null), false, 5, 0, 0);
-    CoreStories.commitAll(s, 10, 0.1);
-    s.onJob(CoreStories.ranked("j-2", Priority.LOW, 1, null), false, 6, 1, 1);
-    JobSpec last = CoreStories.ranked("j-3", Priority.URGENT, 1, 400.0);
+    Scheduler s = SchedulerFixture.scheduler(1);
+    SchedulerFixture.machine(s, "n-1", 1, 1, 0); // Room for four.
+    s.onJob(SchedulerFixture.ranked("j-1", Priority.NORMAL, 4, null), false, 5, 0, 0);
+    SchedulerFixture.commitAll(s, 10, 0.1);
+    s.onJob(SchedulerFixture.ranked("j-2", Priority.LOW, 1, null), false, 6, 1, 1);
+    JobSpec last = SchedulerFixture.ranked("j-3", Priority.URGENT, 1, 400.0);
     s.onJob(last.needing(List.of("j-2")), false, 7, 1, 1);
     for (int i = 2; i < 330; i += 2) {
-      CoreStories.work(s, "n-1", 2L * i, 0, i);
+      SchedulerFixture.work(s, "n-1", 2L * i, 0, i);
       s.tick(i + 0.9);
     }
-    assertThat(CoreStories.notes(s)).noneMatch(n -> n.contains("preempt"));
+    assertThat(SchedulerFixture.notes(s)).noneMatch(n -> n.contains("preempt"));
     for (int i = 330; i < 380; i += 2) {
-      CoreStories.work(s, "n-1", 2L * i, 0, i);
+      SchedulerFixture.work(s, "n-1", 2L * i, 0, i);
       s.tick(i + 0.9);
     }
-    assertThat(CoreStories.notes(s)).anyMatch(n -> n.contains("preempt j-1"));
+    assertThat(SchedulerFixture.notes(s)).anyMatch(n -> n.contains("preempt j-1"));
   }
 
   // ---------------------------------------------------------------- cancelling
--- a/src/test/java/graderelay/CoreStories.java
+++ b/src/test/java/graderelay/SchedulerFixture.java
@@ -4,13 +4,13 @@
 import graderelay.core.JobSpec;
 import graderelay.core.Kind;
 import graderelay.core.MachineType;
-import graderelay.core.Order;
 import graderelay.core.Policy;
 import graderelay.core.Priority;
 import graderelay.core.Report;
 import graderelay.core.Scheduler;
 import graderelay.core.SliceRecord;
 import graderelay.core.Team;
+import graderelay.core.WorkerCommand;
 import graderelay.sim.SimWorld;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -20,8 +20,8 @@
 import java.util.SplittableRandom;
 
 /** Small words to tell stories of the core alone with. */
-final class CoreStories {
-  private CoreStories() {}
+final class SchedulerFixture {
+  private SchedulerFixture() {}
 
   private static final java.util.WeakHashMap<Scheduler, List<Action>> TAKEN =
       new java.util.WeakHashMap<>();
@@ -213,7 +213,7 @@
     return taken(s).stream()
         .filter(a -> a instanceof Action.Command)
         .flatMap(a -> ((Action.Command) a).orders().stream())
-        .filter(o -> o instanceof Order.Launch)
+        .filter(o -> o instanceof WorkerCommand.Launch)
         .count();
   }
 
@@ -284,9 +284,9 @@
     }
   }
 
-  private static void start(List<Order> orders, Map<String, Integer> running) {
-    for (Order o : orders) {
-      if (o instanceof Order.Launch l) {
+  private static void start(List<WorkerCommand> orders, Map<String, Integer> running) {
+    for (WorkerCommand o : orders) {
+      if (o instanceof WorkerCommand.Launch l) {
         running.put(l.task(), l.attempt());
       }
     }
--- a/src/test/java/graderelay/StoriesTest.java
+++ b/src/test/java/graderelay/StoriesTest.java
@@ -1,8 +1,8 @@
 package graderelay;
 
-import static graderelay.StoryWords.fine;
-import static graderelay.StoryWords.runner;
-import static graderelay.StoryWords.secondsToNextStart;
+import static graderelay.WorldAssertions.fine;
+import static graderelay.WorldAssertions.runner;
+import static graderelay.WorldAssertions.secondsToNextStart;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -20,7 +20,7 @@
 /** Short stories of whole controllers against the simulated outside world. */
 class StoriesTest {
   private static SimWorld world(long seed) {
-    return StoryWords.world(seed, 3);
+    return WorldAssertions.world(seed, 3);
   }
 
   private static boolean writesSlice(JsonNode txn) {
@@ -212,18 +212,18 @@
   void aSessionThatOnlyDirectOrdersHaveShownHasItsWholeLease() {
     // A worker that reaches no controller but is reached by the owner: the owner sees a new
     // session in its answers and launches there, and must wait for that session's own lease.
-    Scheduler s = CoreStories.scheduler(1);
-    CoreStories.machine(s, "n-1", 1, 1, 0.0);
-    s.onJob(CoreStories.array("j-1", 1), false, 5, 0, 0);
-    CoreStories.commitAll(s, 10, 0.1);
-    CoreStories.answerDirect(s, CoreStories.report("n-1", 2, 9, 1), 11);
-    CoreStories.commitAll(s, 11, 11.1); // The first attempt ends with its session.
-    CoreStories.commitAll(s, 12, 11.2); // The second is claimed on the new one.
-    assertThat(CoreStories.claimsOf(s, "n-1")).isEqualTo(1);
+    Scheduler s = SchedulerFixture.scheduler(1);
+    SchedulerFixture.machine(s, "n-1", 1, 1, 0.0);
+    s.onJob(SchedulerFixture.array("j-1", 1), false, 5, 0, 0);
+    SchedulerFixture.commitAll(s, 10, 0.1);
+    SchedulerFixture.answerDirect(s, SchedulerFixture.report("n-1", 2, 9, 1), 11);
+    SchedulerFixture.commitAll(s, 11, 11.1); // The first attempt ends with its session.
+    SchedulerFixture.commitAll(s, 12, 11.2); // The second is claimed on the new one.
+    assertThat(SchedulerFixture.claimsOf(s, "n-1")).isEqualTo(1);
     s.tick(14); // A lease counted from the last answer would be over.
-    assertThat(CoreStories.notes(s)).noneMatch(n -> n.contains("lease of n-1 is over"));
+    assertThat(SchedulerFixture.notes(s)).noneMatch(n -> n.contains("lease of n-1 is over"));
     s.tick(11 + SimWorld.LEASE_S + 1);
-    assertThat(CoreStories.notes(s)).anyMatch(n -> n.contains("lease of n-1 is over"));
+    assertThat(SchedulerFixture.notes(s)).anyMatch(n -> n.contains("lease of n-1 is over"));
   }
 
   @Test
@@ -296,33 +296,33 @@
 
   @Test
   void aReportUnderAnOlderTermProvesNothingAboutAnEarlierOwnersClaim() {
-    Scheduler s = CoreStories.takingOver(2);
-    s.onJob(CoreStories.array("j-1", 1), false, 3, 0, 0);
-    s.onSlice(new SliceKey("j-1", 0), CoreStories.claimed("n-1", 1), 4, 0);
+    Scheduler s = SchedulerFixture.takingOver(2);
+    s.onJob(SchedulerFixture.array("j-1", 1), false, 3, 0, 0);
+    s.onSlice(new SliceKey("j-1", 0), SchedulerFixture.claimed("n-1", 1), 4, 0);
     s.loaded(0);
     s.onReport(
-        CoreStories.report("n-1", 1, 5, 1), 1); // The earlier owner's launch may be under way.
-    CoreStories.commitAll(s, 10, 1.1);
-    assertThat(CoreStories.claimsOf(s, "n-1")).isEqualTo(1);
-    assertThat(CoreStories.writes(s)).isZero();
-    s.onReport(CoreStories.report("n-1", 1, 6, 2), 2); // Now that launch would be refused.
-    CoreStories.commitAll(s, 11, 2.1);
-    assertThat(CoreStories.writes(s)).isPositive();
+        SchedulerFixture.report("n-1", 1, 5, 1), 1); // The earlier owner's launch may be under way.
+    SchedulerFixture.commitAll(s, 10, 1.1);
+    assertThat(SchedulerFixture.claimsOf(s, "n-1")).isEqualTo(1);
+    assertThat(SchedulerFixture.writes(s)).isZero();
+    s.onReport(SchedulerFixture.report("n-1", 1, 6, 2), 2); // Now that launch would be refused.
+    SchedulerFixture.commitAll(s, 11, 2.1);
+    assertThat(SchedulerFixture.writes(s)).isPositive();
   }
 
   @Test
   void aClaimThatTurnsUpLateIsEndedAndNeverLaunched() {
-    Scheduler s = CoreStories.scheduler(1);
-    CoreStories.machine(s, "n-1", 1, 1, 0);
-    s.onJob(CoreStories.array("j-1", 1), false, 5, 0, 0);
+    Scheduler s = SchedulerFixture.scheduler(1);
+    SchedulerFixture.machine(s, "n-1", 1, 1, 0);
+    s.onJob(SchedulerFixture.array("j-1", 1), false, 5, 0, 0);
     s.step(0.1);
-    CoreStories.answerWrites(s, Scheduler.Outcome.UNKNOWN, 0.2);
-    s.onSlice(new SliceKey("j-1", 0), CoreStories.claimed("n-1", 1), 6, 0.21);
-    s.onReport(CoreStories.report("n-1", 1, 2, 1), 0.25);
-    assertThat(s.ordersFor(CoreStories.report("n-1", 1, 2, 1), 0.25)).isEmpty();
-    assertThat(CoreStories.launches(s)).isZero();
-    CoreStories.commitAll(s, 7, 0.3);
-    assertThat(CoreStories.writes(s)).isPositive(); // It goes back to the queue.
+    SchedulerFixture.answerWrites(s, Scheduler.Outcome.UNKNOWN, 0.2);
+    s.onSlice(new SliceKey("j-1", 0), SchedulerFixture.claimed("n-1", 1), 6, 0.21);
+    s.onReport(SchedulerFixture.report("n-1", 1, 2, 1), 0.25);
+    assertThat(s.ordersFor(SchedulerFixture.report("n-1", 1, 2, 1), 0.25)).isEmpty();
+    assertThat(SchedulerFixture.launches(s)).isZero();
+    SchedulerFixture.commitAll(s, 7, 0.3);
+    assertThat(SchedulerFixture.writes(s)).isPositive(); // It goes back to the queue.
   }
 
   @Test
--- a/src/test/java/graderelay/UngrantedPledgesTest.java
+++ b/src/test/java/graderelay/UngrantedPledgesTest.java
@@ -1,7 +1,7 @@
 package graderelay;
 
-import static graderelay.StoryWords.fine;
-import static graderelay.StoryWords.world;
+import static graderelay.WorldAssertions.fine;
+import static graderelay.WorldAssertions.world;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -43,7 +43,7 @@
     Rules.Known service = w.job("j-000001", 1, 1, 0, false);
     w.submit(0, service);
     w.loop.run(15);
-    String machine = StoryWords.runner(w, "j-000001/0");
+    String machine = WorldAssertions.runner(w, "j-000001/0");
     int leader = w.owner();
     for (int i = 0; i < w.size; i++) {
       if (i != leader) {
--- a/src/test/java/graderelay/StoryWords.java
+++ b/src/test/java/graderelay/WorldAssertions.java
@@ -5,8 +5,8 @@
 import graderelay.sim.SimWorld;
 
 /** Small words that stories of whole controllers share. */
-final class StoryWords {
-  private StoryWords() {}
+final class WorldAssertions {
+  private WorldAssertions() {}
 
   /** A world of so many controllers, of which one owns the fleet by now. */
   static SimWorld world(long seed, int size) {
