--- a/src/main/java/graderelay/net/TokenBucket.java
+++ b/src/main/java/graderelay/net/TokenBucket.java
@@ -173,6 +173,12 @@
     return waiting;
   }
 
+  /** True if a call of that cost could not be made at once. */
+  public boolean wouldWait(double cost) {
+    refill();
+    return waiting > 0 || tokens < Math.min(cost, burst);
+  }
+
   public long refused() {
     return refusedCount;
   }
--- a/src/main/java/graderelay/service/Node.java
+++ b/src/main/java/graderelay/service/Node.java
@@ -121,12 +121,17 @@
             this::core,
             this::ready);
     this.hedge =
-        new RequestHedger(loop, mesh, state::stuck, ownership::awayForAll, ownership::hears);
+        new RequestHedger(loop, mesh, state::stuck, ownership::awayForAll, this::mayAnswer);
     this.meshApi =
         new MeshApi(
             ownership, state, cancellations, reports::relayed, this::onDeputy, this::handleRelayed);
   }
 
+  /** A leader knows which peers answer; a follower finds out by asking. */
+  private boolean mayAnswer(String peer) {
+    return !ownership.owner() || ownership.hears(peer);
+  }
+
   private static int mostSlice(Settings s) {
     // New records fit what the state service will allow as well.
     return Math.max(1, (int) (s.least().valueKb() * 1024 / Constants.SLICE_BYTES_PER_TASK));
@@ -288,17 +293,24 @@
       }
     } else if (AdminApi.owns(path)) {
       admin.handle(e);
-    } else if (post
-        && path.equals(JOBS)
-        && ownership.owner()
-        && state.changeTokens().waiting() > 0) {
-      // Claims and ends go before submissions, and only the owner can write those.
+    } else if (post && path.equals(JOBS) && submissionsWaitHere()) {
       hedge.handleElsewhere(e, this::handleHere);
     } else {
       hedge.handle(e, this::handleHere);
     }
   }
 
+  /**
+   * True if a peer may take a submission sooner. On the leader claims and ends go first, which only
+   * it can write. A follower has a small share of the changes: of a pipeline whose jobs come at
+   * once, it can write one or two without waiting, and its peers' shares lie idle meanwhile.
+   */
+  private boolean submissionsWaitHere() {
+    return ownership.owner()
+        ? state.changeTokens().waiting() > 0
+        : state.changeTokens().wouldWait(1);
+  }
+
   private void showMetrics(Exchange e) {
     String text =
         metrics.scrape(Map.of("state", state.outcomes(), "cloud", cloud.outcomes()), core());
--- /dev/null
+++ b/src/test/java/graderelay/SubmissionBurstTest.java
@@ -0,0 +1,42 @@
+package graderelay;
+
+import static graderelay.WorldAssertions.fine;
+import static graderelay.WorldAssertions.world;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import graderelay.sim.Rules;
+import graderelay.sim.SimWorld;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Submissions that come to one follower in a burst, of which it may write only a few at once. */
+class SubmissionBurstTest {
+  private static final int JOBS = 60;
+
+  /** Seconds that a follower alone would need, by its share of the changes, are about two. */
+  private static final double SOON_S = 0.7;
+
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void aBurstAtOneFollowerIsWrittenByItsPeersAsWell(boolean onePeerIsDown) {
+    SimWorld w = world(461, 5);
+    w.loop.run(10);
+    int follower = (w.owner() + 1) % w.size;
+    if (onePeerIsDown) {
+      w.crash((w.owner() + 2) % w.size);
+    }
+    List<Rules.Known> burst = new ArrayList<>();
+    for (int i = 0; i < JOBS; i++) {
+      Rules.Known job = w.job(String.format("j-%06d", i), 1, 1, 1, true);
+      burst.add(job);
+      w.submit(follower, job);
+    }
+    w.loop.run(SOON_S);
+    assertThat(burst).allMatch(job -> job.accepted);
+    w.loop.run(90);
+    burst.forEach(job -> assertThat(w.stage(follower, job.id)).isEqualTo("done"));
+    fine(w);
+  }
+}
