Ends of cancelled jobs leave room for the claims of others

Cause: the leader sent the ends of all jobs that go with a cancelled one at once. Ruled out: room (idle machines were given back meanwhile), the takeover. Now the ends of done jobs go first, and those of cancelled jobs only while half of the changes that may be under way are left, or none of them is. A test fails without it.

--- a/src/main/java/graderelay/core/Ledger.java
+++ b/src/main/java/graderelay/core/Ledger.java
@@ -388,31 +388,55 @@
 
   /** Ends jobs that are complete or stopped with nothing left, and drops slices without a job. */
   void endJobs(double now) {
-    int ops = world.policy.txnOps();
+    List<Job> cancelled = new ArrayList<>();
     for (Job j : new ArrayList<>(world.maybeOver)) {
       boolean over = j.stop ? j.claims.isEmpty() : endsWhole(j);
       if (!over) {
         world.maybeOver.remove(j);
+      } else if (j.ending || j.slices.values().stream().anyMatch(s -> s.inFlight)) {
         continue;
+      } else if (j.stop) {
+        cancelled.add(j);
+      } else {
+        endJob(j);
       }
-      if (j.ending || j.slices.values().stream().anyMatch(s -> s.inFlight)) {
-        continue;
+    }
+    // Their records say already that they are cancelled, and nobody waits for their ends: hundreds
+    // that go with one job that they need must not hold up the claims of others.
+    for (Job j : cancelled) {
+      if (cancelledEndsOut() > 0 && changesLeft() <= mostChangesOut() / 2) {
+        break;
       }
-      // Users wait for the end, nobody for the slices to go: in a swarm of single tasks they would
-      // take as many changes again. What is left goes as soon as there is time.
-      int most = Math.min(ops - 2, changesLeft() - 2);
-      List<Action.SliceDrop> drops = new ArrayList<>();
-      for (Job.Slice s : j.slices.values()) {
-        if (s.mark > 0 && drops.size() < most) {
-          drops.add(new Action.SliceDrop(s.key, s.mark));
-        }
+      endJob(j);
+    }
+    dropOrphans();
+  }
+
+  private void endJob(Job j) {
+    // Users wait for the end, nobody for the slices to go: in a swarm of single tasks they would
+    // take as many changes again. What is left goes as soon as there is time.
+    int most = Math.min(world.policy.txnOps() - 2, changesLeft() - 2);
+    List<Action.SliceDrop> drops = new ArrayList<>();
+    for (Job.Slice s : j.slices.values()) {
+      if (s.mark > 0 && drops.size() < most) {
+        drops.add(new Action.SliceDrop(s.key, s.mark));
       }
-      j.ending = true;
-      Action.JobEnd e =
-          new Action.JobEnd(j.spec.id(), j.mark, j.stop, j.spec.tasks(), List.copyOf(drops));
-      emit(new Action.Write(nextWrite++, List.of(), List.of(e), List.of()), Map.of(), Map.of());
     }
-    int most = Math.min(ops, changesLeft());
+    j.ending = true;
+    Action.JobEnd e =
+        new Action.JobEnd(j.spec.id(), j.mark, j.stop, j.spec.tasks(), List.copyOf(drops));
+    emit(new Action.Write(nextWrite++, List.of(), List.of(e), List.of()), Map.of(), Map.of());
+  }
+
+  private long cancelledEndsOut() {
+    return sending.values().stream()
+        .flatMap(s -> s.write().ends().stream())
+        .filter(Action.JobEnd::cancelled)
+        .count();
+  }
+
+  private void dropOrphans() {
+    int most = Math.min(world.policy.txnOps(), changesLeft());
     if (orphans.isEmpty() || most <= 0 || orphanWriteOpen()) {
       return;
     }
--- a/src/test/java/graderelay/DependencyGuardsTest.java
+++ b/src/test/java/graderelay/DependencyGuardsTest.java
@@ -13,7 +13,10 @@
 import graderelay.sim.SimWorld;
 import graderelay.wire.Json;
 import graderelay.wire.StateCodec;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -43,6 +46,35 @@
     assertThat(ends(scheduler)).containsExactly(DEPENDENT);
   }
 
+  /**
+   * The ends of hundreds of dependents that are cancelled together take many seconds' worth of
+   * changes, and nobody waits for them: work that has just come is claimed before they are written.
+   */
+  @Test
+  void theEndsOfAWideFanDoNotHoldUpTheClaimsOfOthers() {
+    Scheduler scheduler = SchedulerFixture.takingOver(1, Map.of(), 12);
+    scheduler.loaded(0);
+    SchedulerFixture.machine(scheduler, "n-1", 1, 1, 0);
+    scheduler.onJob(SchedulerFixture.array(CANCELLED, 1), false, 5, 0, 0);
+    for (int i = 0; i < 500; i++) {
+      JobSpec dependent = SchedulerFixture.array(String.format("j-%06d", 100 + i), 1);
+      scheduler.onJob(dependent.needing(List.of(CANCELLED)), false, 6 + i, 0, 0);
+    }
+    scheduler.onJob(SchedulerFixture.array(CANCELLED, 1), true, 600, 0, 1);
+    scheduler.step(1.1);
+    assertThat(ends(scheduler)).hasSizeBetween(1, 4);
+    scheduler.onJob(SchedulerFixture.array(OTHER, 1), false, 601, 1.2, 1.2);
+    scheduler.step(1.3);
+    assertThat(SchedulerFixture.claimsOf(scheduler, "n-1")).isEqualTo(1);
+    Set<String> ended = new HashSet<>();
+    for (int i = 0; i < 600; i++) {
+      ended.addAll(ends(scheduler));
+      SchedulerFixture.answerWrites(scheduler, Scheduler.Outcome.COMMITTED, 2 + i * 0.1);
+      scheduler.step(2.05 + i * 0.1);
+    }
+    assertThat(ended).hasSize(501); // In their own time, all of them.
+  }
+
   private static List<String> ends(Scheduler scheduler) {
     return SchedulerFixture.taken(scheduler).stream()
         .filter(action -> action instanceof Action.Write)
