--- a/src/main/java/graderelay/mesh/MeshApi.java
+++ b/src/main/java/graderelay/api/MeshApi.java
@@ -1,7 +1,8 @@
-package graderelay.mesh;
+package graderelay.api;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import graderelay.mesh.MeshClient;
 import graderelay.net.Exchange;
 import graderelay.net.Exchange.Answer;
 import graderelay.state.Cancellations;
--- a/src/main/java/graderelay/api/UserApi.java
+++ b/src/main/java/graderelay/api/UserApi.java
@@ -1,6 +1,8 @@
 package graderelay.api;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import graderelay.config.Settings;
+import graderelay.constants.Constants;
 import graderelay.core.JobSpec;
 import graderelay.core.MachineType;
 import graderelay.core.SliceRecord;
@@ -9,8 +11,6 @@
 import graderelay.net.Exchange.Answer;
 import graderelay.net.Loop;
 import graderelay.net.TokenBucket.Use;
-import graderelay.service.Constants;
-import graderelay.service.Settings;
 import graderelay.state.Cache;
 import graderelay.state.CancellationResolver;
 import graderelay.state.Cancellations;
--- a/src/main/java/graderelay/cli/Check.java
+++ b/src/main/java/graderelay/cli/Check.java
@@ -1,6 +1,6 @@
 package graderelay.cli;
 
-import graderelay.service.Settings;
+import graderelay.config.Settings;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
--- a/src/main/java/graderelay/cli/Main.java
+++ b/src/main/java/graderelay/cli/Main.java
@@ -1,6 +1,6 @@
 package graderelay.cli;
 
-import graderelay.service.Logs;
+import graderelay.config.Logs;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
--- a/src/main/java/graderelay/cli/Serve.java
+++ b/src/main/java/graderelay/cli/Serve.java
@@ -1,11 +1,11 @@
 package graderelay.cli;
 
+import graderelay.config.Settings;
+import graderelay.constants.Constants;
 import graderelay.net.HttpClient;
 import graderelay.net.HttpServer;
 import graderelay.net.NettyLoop;
-import graderelay.service.Constants;
 import graderelay.service.Node;
-import graderelay.service.Settings;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.security.SecureRandom;
 import java.util.SplittableRandom;
--- a/src/main/java/graderelay/cli/Warmup.java
+++ b/src/main/java/graderelay/cli/Warmup.java
@@ -1,11 +1,11 @@
 package graderelay.cli;
 
+import graderelay.config.Settings;
 import graderelay.net.HttpClient;
 import graderelay.net.HttpServer;
 import graderelay.net.NettyLoop;
 import graderelay.net.Reply;
 import graderelay.service.Node;
-import graderelay.service.Settings;
 import graderelay.wire.Json;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.nio.charset.StandardCharsets;
--- a/src/main/java/graderelay/cloud/CloudClient.java
+++ b/src/main/java/graderelay/cloud/CloudClient.java
@@ -1,6 +1,7 @@
 package graderelay.cloud;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import graderelay.constants.Constants;
 import graderelay.core.MachineType;
 import graderelay.core.Scheduler.Listed;
 import graderelay.net.Loop;
@@ -8,7 +9,6 @@
 import graderelay.net.TokenBucket;
 import graderelay.net.TokenBucket.Use;
 import graderelay.net.Transport;
-import graderelay.service.Constants;
 import graderelay.wire.CloudCodec;
 import graderelay.wire.Json;
 import java.util.ArrayList;
--- a/src/main/java/graderelay/service/Logs.java
+++ b/src/main/java/graderelay/config/Logs.java
@@ -1,4 +1,4 @@
-package graderelay.service;
+package graderelay.config;
 
 import java.io.PrintWriter;
 import java.io.StringWriter;
--- a/src/main/java/graderelay/service/OperatorSettings.java
+++ b/src/main/java/graderelay/config/OperatorSettings.java
@@ -1,8 +1,9 @@
-package graderelay.service;
+package graderelay.config;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import graderelay.constants.Constants;
 import graderelay.core.Policy;
 import graderelay.wire.BadRequest;
 import graderelay.wire.Json;
--- a/src/main/java/graderelay/service/Settings.java
+++ b/src/main/java/graderelay/config/Settings.java
@@ -1,7 +1,8 @@
-package graderelay.service;
+package graderelay.config;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import graderelay.constants.Constants;
 import graderelay.core.Team;
 import java.io.File;
 import java.io.IOException;
--- a/src/main/java/graderelay/service/Constants.java
+++ b/src/main/java/graderelay/constants/Constants.java
@@ -1,4 +1,4 @@
-package graderelay.service;
+package graderelay.constants;
 
 /**
  * Every constant of the program, with its unit and the reason for its value. What a deployment
--- a/src/main/java/graderelay/core/Dependencies.java
+++ b/src/main/java/graderelay/core/Dependencies.java
@@ -1,6 +1,6 @@
 package graderelay.core;
 
-import graderelay.service.Constants;
+import graderelay.constants.Constants;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
--- a/src/main/java/graderelay/core/FailureAttribution.java
+++ b/src/main/java/graderelay/core/FailureAttribution.java
@@ -1,6 +1,6 @@
 package graderelay.core;
 
-import graderelay.service.Constants;
+import graderelay.constants.Constants;
 
 /**
  * Whose fault a failed task is. Mostly it is the machine's, but a job that was submitted with a
--- a/src/main/java/graderelay/core/Machine.java
+++ b/src/main/java/graderelay/core/Machine.java
@@ -1,6 +1,6 @@
 package graderelay.core;
 
-import graderelay.service.Constants;
+import graderelay.constants.Constants;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
--- a/src/main/java/graderelay/mesh/MeshClient.java
+++ b/src/main/java/graderelay/mesh/MeshClient.java
@@ -1,16 +1,17 @@
 package graderelay.mesh;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import graderelay.config.Settings;
+import graderelay.constants.Constants;
 import graderelay.net.Transport;
-import graderelay.service.Constants;
-import graderelay.service.Settings;
 import graderelay.wire.Json;
 import java.util.List;
 import java.util.function.Consumer;
 
 /** Speaks to the other controllers, in CBOR. */
 public final class MeshClient {
-  static final String PATH = "/mesh";
+  /** The one path that messages between controllers go to. */
+  public static final String PATH = "/mesh";
 
   private final Transport transport;
   private final List<Settings.Peer> peers;
--- a/src/main/java/graderelay/mesh/RequestHedger.java
+++ b/src/main/java/graderelay/mesh/RequestHedger.java
@@ -1,10 +1,10 @@
 package graderelay.mesh;
 
+import graderelay.config.Settings;
+import graderelay.constants.Constants;
 import graderelay.net.Exchange;
 import graderelay.net.Exchange.Answer;
 import graderelay.net.Loop;
-import graderelay.service.Constants;
-import graderelay.service.Settings;
 import graderelay.wire.Json;
 import graderelay.wire.MeshCodec;
 import java.util.HashMap;
--- a/src/main/java/graderelay/net/Exchange.java
+++ b/src/main/java/graderelay/net/Exchange.java
@@ -1,6 +1,6 @@
 package graderelay.net;
 
-import graderelay.service.Constants;
+import graderelay.constants.Constants;
 import java.util.function.Consumer;
 
 /** A request that came in, and the way to answer it once. */
--- a/src/main/java/graderelay/net/HttpClient.java
+++ b/src/main/java/graderelay/net/HttpClient.java
@@ -1,6 +1,6 @@
 package graderelay.net;
 
-import graderelay.service.Constants;
+import graderelay.constants.Constants;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
--- a/src/main/java/graderelay/net/HttpServer.java
+++ b/src/main/java/graderelay/net/HttpServer.java
@@ -1,6 +1,6 @@
 package graderelay.net;
 
-import graderelay.service.Constants;
+import graderelay.constants.Constants;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
--- a/src/main/java/graderelay/net/TokenBucket.java
+++ b/src/main/java/graderelay/net/TokenBucket.java
@@ -1,6 +1,6 @@
 package graderelay.net;
 
-import graderelay.service.Constants;
+import graderelay.constants.Constants;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.function.Consumer;
--- a/src/main/java/graderelay/service/Metrics.java
+++ b/src/main/java/graderelay/service/Metrics.java
@@ -1,5 +1,6 @@
 package graderelay.service;
 
+import graderelay.constants.Constants;
 import graderelay.core.Scheduler;
 import graderelay.net.Loop;
 import graderelay.net.TokenBucket;
--- a/src/main/java/graderelay/state/Cache.java
+++ b/src/main/java/graderelay/state/Cache.java
@@ -1,12 +1,12 @@
 package graderelay.state;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import graderelay.constants.Constants;
 import graderelay.core.JobSpec;
 import graderelay.core.SliceKey;
 import graderelay.core.SliceRecord;
 import graderelay.net.Loop;
 import graderelay.net.TokenBucket.Use;
-import graderelay.service.Constants;
 import graderelay.wire.StateCodec;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/main/java/graderelay/state/Cancellations.java
+++ b/src/main/java/graderelay/state/Cancellations.java
@@ -1,10 +1,11 @@
 package graderelay.state;
 
+import graderelay.config.Settings;
+import graderelay.constants.Constants;
+import graderelay.core.CancellationKnowledge;
 import graderelay.core.Report;
 import graderelay.core.WorkerCommand;
 import graderelay.net.Loop;
-import graderelay.service.Constants;
-import graderelay.service.Settings;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -25,19 +26,6 @@
  * have told a user. A message that a job was cancelled helps, but proves nothing: it may be lost.
  */
 public final class Cancellations {
-  /**
-   * What a controller says of its knowledge.
-   *
-   * @param complete nothing is missing of what it or an earlier process of it has told users
-   * @param processS seconds since its process began, which has forgotten what was before
-   * @param knownS seconds since the time up to which it knows what anybody told, or less than 0
-   * @param jobs the cancelled jobs that may still run
-   */
-  public record Word(boolean complete, double processS, double knownS, List<String> jobs) {
-    /** Says nothing at all. */
-    public static final Word NONE = new Word(false, 0, -1, List.of());
-  }
-
   private final Loop loop;
   private final Cache cache;
   private final List<Settings.Peer> peers;
@@ -152,16 +140,16 @@
   // ---------------------------------------------------------------- words
 
   /** What we say of ourselves. */
-  public Word word() {
+  public CancellationKnowledge word() {
     prune();
     Collection<String> jobs = new TreeSet<>(cache.stopped());
     jobs.addAll(heard.keySet());
     if (jobs.size() > Constants.MOST_CANCELLATIONS) {
-      return Word.NONE;
+      return CancellationKnowledge.NONE;
     }
     double now = loop.now();
     double known = knownUntil();
-    return new Word(
+    return new CancellationKnowledge(
         complete(),
         now - startedAt,
         known == Double.NEGATIVE_INFINITY ? -1 : now - known,
@@ -174,7 +162,7 @@
   }
 
   /** A peer's word, in answer to a question that we sent at {@code sentAt}. */
-  public void heard(String peer, double sentAt, Word w) {
+  public void heard(String peer, double sentAt, CancellationKnowledge w) {
     adopt(sentAt, w);
     // What an earlier process of that peer has told is known only if it ended before our figure.
     double began = loop.now() - w.processS() * (1 - Constants.DRIFT);
@@ -191,7 +179,7 @@
   }
 
   /** Somebody's word, whose knowledge is ours from now on. */
-  public void adopt(double sentAt, Word w) {
+  public void adopt(double sentAt, CancellationKnowledge w) {
     w.jobs().forEach(this::learn);
     if (w.knownS() >= 0) {
       knownByWord = Math.max(knownByWord, sentAt - w.knownS() * (1 + Constants.DRIFT));
--- a/src/main/java/graderelay/state/FinalStateLookup.java
+++ b/src/main/java/graderelay/state/FinalStateLookup.java
@@ -1,9 +1,9 @@
 package graderelay.state;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import graderelay.constants.Constants;
 import graderelay.net.Loop;
 import graderelay.net.TokenBucket.Use;
-import graderelay.service.Constants;
 import graderelay.state.StateClient.How;
 import graderelay.wire.StateCodec;
 import java.util.ArrayList;
--- a/src/main/java/graderelay/state/Leadership.java
+++ b/src/main/java/graderelay/state/Leadership.java
@@ -1,11 +1,11 @@
 package graderelay.state;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import graderelay.config.Settings;
+import graderelay.constants.Constants;
 import graderelay.mesh.MeshClient;
 import graderelay.net.Loop;
 import graderelay.net.TokenBucket.Use;
-import graderelay.service.Constants;
-import graderelay.service.Settings;
 import graderelay.wire.MeshCodec;
 import graderelay.wire.StateCodec;
 import java.util.HashMap;
--- a/src/main/java/graderelay/wire/Fields.java
+++ b/src/main/java/graderelay/wire/Fields.java
@@ -1,7 +1,7 @@
 package graderelay.wire;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import graderelay.service.Constants;
+import graderelay.constants.Constants;
 
 /** Checked reads of a request's fields; errors name the field. */
 final class Fields {
--- a/src/main/java/graderelay/wire/MeshCodec.java
+++ b/src/main/java/graderelay/wire/MeshCodec.java
@@ -2,8 +2,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import graderelay.core.CancellationKnowledge;
 import graderelay.net.Exchange.Answer;
-import graderelay.state.Cancellations;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -59,7 +59,7 @@
   }
 
   /** Adds what the sender knows of cancellations. */
-  public static ObjectNode word(ObjectNode answer, Cancellations.Word w) {
+  public static ObjectNode word(ObjectNode answer, CancellationKnowledge w) {
     ObjectNode n = answer.putObject("cancellations");
     n.put("complete", w.complete()).put("process", w.processS()).put("known", w.knownS());
     w.jobs().forEach(n.putArray("jobs")::add);
@@ -67,17 +67,17 @@
   }
 
   /** What the answer says of cancellations; nothing if its sender says nothing of them. */
-  public static Cancellations.Word word(JsonNode answer) {
+  public static CancellationKnowledge word(JsonNode answer) {
     JsonNode n = answer.path("cancellations");
     List<String> jobs = new ArrayList<>();
     n.path("jobs").forEach(j -> jobs.add(j.asText()));
     return n.isObject()
-        ? new Cancellations.Word(
+        ? new CancellationKnowledge(
             n.path("complete").asBoolean(),
             n.path("process").asDouble(),
             n.path("known").asDouble(-1),
             jobs)
-        : Cancellations.Word.NONE;
+        : CancellationKnowledge.NONE;
   }
 
   /** Leaves the fleet to a peer: the sender has stopped, and this hold can be ended. */
--- a/src/main/java/graderelay/worker/LeaseDelegate.java
+++ b/src/main/java/graderelay/worker/LeaseDelegate.java
@@ -1,12 +1,12 @@
 package graderelay.worker;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import graderelay.config.Settings;
+import graderelay.constants.Constants;
 import graderelay.core.Report;
 import graderelay.mesh.MeshClient;
 import graderelay.net.Loop;
 import graderelay.net.TokenBucket.Use;
-import graderelay.service.Constants;
-import graderelay.service.Settings;
 import graderelay.state.Cache;
 import graderelay.state.Cancellations;
 import graderelay.state.Leadership;
--- a/src/main/java/graderelay/worker/WorkerApi.java
+++ b/src/main/java/graderelay/worker/WorkerApi.java
@@ -1,12 +1,12 @@
 package graderelay.worker;
 
+import graderelay.constants.Constants;
 import graderelay.core.Report;
 import graderelay.core.WorkerCommand;
 import graderelay.mesh.MeshClient;
 import graderelay.net.Exchange;
 import graderelay.net.Exchange.Answer;
 import graderelay.net.Loop;
-import graderelay.service.Constants;
 import graderelay.state.Cache;
 import graderelay.state.Cancellations;
 import graderelay.state.Leadership;
--- a/src/main/java/graderelay/worker/WorkerClient.java
+++ b/src/main/java/graderelay/worker/WorkerClient.java
@@ -1,11 +1,11 @@
 package graderelay.worker;
 
+import graderelay.constants.Constants;
 import graderelay.core.Action;
 import graderelay.core.Report;
 import graderelay.core.Scheduler.Sent;
 import graderelay.net.Reply;
 import graderelay.net.Transport;
-import graderelay.service.Constants;
 import graderelay.wire.Json;
 import graderelay.wire.WorkerCodec;
 
--- a/src/test/java/graderelay/AdminTest.java
+++ b/src/test/java/graderelay/AdminTest.java
@@ -5,7 +5,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
-import graderelay.service.Settings;
+import graderelay.config.Settings;
 import graderelay.sim.Rules;
 import graderelay.sim.SimWorld;
 import graderelay.wire.Json;
--- a/src/test/java/graderelay/BadDependenciesTest.java
+++ b/src/test/java/graderelay/BadDependenciesTest.java
@@ -6,7 +6,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import graderelay.service.Constants;
+import graderelay.constants.Constants;
 import graderelay.sim.RandomDay;
 import graderelay.sim.Rules;
 import graderelay.sim.SimWorld;
--- a/src/test/java/graderelay/GrownStoriesTest.java
+++ b/src/test/java/graderelay/GrownStoriesTest.java
@@ -5,9 +5,9 @@
 import static graderelay.WorldAssertions.secondsToNextStart;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import graderelay.constants.Constants;
 import graderelay.core.Action;
 import graderelay.core.Scheduler;
-import graderelay.service.Constants;
 import graderelay.sim.Rules;
 import graderelay.sim.SimWorld;
 import graderelay.wire.Json;
--- a/src/test/java/graderelay/MeetingsTest.java
+++ b/src/test/java/graderelay/MeetingsTest.java
@@ -5,7 +5,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import graderelay.service.Constants;
+import graderelay.constants.Constants;
 import graderelay.sim.Rules;
 import graderelay.sim.SimWorker;
 import graderelay.sim.SimWorld;
--- a/src/test/java/graderelay/OpsStoriesTest.java
+++ b/src/test/java/graderelay/OpsStoriesTest.java
@@ -4,12 +4,12 @@
 import static graderelay.WorldAssertions.world;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import graderelay.constants.Constants;
 import graderelay.core.Action;
 import graderelay.core.Priority;
 import graderelay.core.Report;
 import graderelay.core.Scheduler;
 import graderelay.core.WorkerCommand;
-import graderelay.service.Constants;
 import graderelay.sim.Rules;
 import graderelay.sim.SimWorld;
 import graderelay.wire.Json;
--- a/src/test/java/graderelay/PipelinesTest.java
+++ b/src/test/java/graderelay/PipelinesTest.java
@@ -6,13 +6,13 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import graderelay.config.Settings;
 import graderelay.core.Action;
 import graderelay.core.JobSpec;
 import graderelay.core.Priority;
 import graderelay.core.Scheduler;
 import graderelay.core.SliceRecord;
 import graderelay.net.Exchange;
-import graderelay.service.Settings;
 import graderelay.sim.Rules;
 import graderelay.sim.SimWorld;
 import graderelay.wire.BadRequest;
--- a/src/test/java/graderelay/sim/RandomDay.java
+++ b/src/test/java/graderelay/sim/RandomDay.java
@@ -1,6 +1,6 @@
 package graderelay.sim;
 
-import graderelay.service.Settings;
+import graderelay.config.Settings;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
--- a/src/test/java/graderelay/sim/SimWorld.java
+++ b/src/test/java/graderelay/sim/SimWorld.java
@@ -2,12 +2,12 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import graderelay.config.Settings;
 import graderelay.core.Team;
 import graderelay.net.Exchange;
 import graderelay.net.Reply;
 import graderelay.net.Transport;
 import graderelay.service.Node;
-import graderelay.service.Settings;
 import graderelay.wire.Json;
 import java.util.ArrayList;
 import java.util.Arrays;
--- a/src/test/java/graderelay/wire/ProductionFormatsTest.java
+++ b/src/test/java/graderelay/wire/ProductionFormatsTest.java
@@ -3,16 +3,16 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import graderelay.config.OperatorSettings;
 import graderelay.core.Action;
+import graderelay.core.CancellationKnowledge;
 import graderelay.core.JobSpec;
 import graderelay.core.Kind;
 import graderelay.core.Priority;
 import graderelay.core.SliceKey;
 import graderelay.core.SliceRecord;
 import graderelay.net.Exchange.Answer;
-import graderelay.service.OperatorSettings;
 import graderelay.state.Cache;
-import graderelay.state.Cancellations;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -29,8 +29,8 @@
   private static final long NOW_MS = 1_700_000_000_000L;
   private static final int LARGE = 16 * 1024;
   private static final byte[] BODY = "{\"saw\":\"n-000100\"}".getBytes(StandardCharsets.UTF_8);
-  private static final Cancellations.Word WORD =
-      new Cancellations.Word(true, 512.5, 1.25, List.of("j-000003", "j-000005"));
+  private static final CancellationKnowledge WORD =
+      new CancellationKnowledge(true, 512.5, 1.25, List.of("j-000003", "j-000005"));
 
   private static JobSpec storedJob(String id) {
     return StateCodec.job(id, ProductionFormats.record(StateCodec.jobKey(id)));
@@ -223,7 +223,7 @@
   @Test
   void anAnswerThatLacksWhatCameLaterVouchesForNothing() {
     assertThat(MeshCodec.word(Json.object().put("granted", true)))
-        .isEqualTo(Cancellations.Word.NONE);
+        .isEqualTo(CancellationKnowledge.NONE);
     assertThat(MeshCodec.answer(Json.object())).isNull();
     assertThat(MeshCodec.kind(Json.object())).isEmpty();
   }
