What is due has a place beside work with wanted waits, by the jobs it brings in time

Cause: among jobs of one priority those with wanted waiting times had a worth for each task and those with a deadline none, so a burst of urgent rescans let all that is due come too late, also the last stages of pipelines of a few small tasks. All that is due at a priority now goes, by deadline as before, at the worth of its jobs over its open tasks.

--- a/src/main/java/graderelay/core/Placer.java
+++ b/src/main/java/graderelay/core/Placer.java
@@ -53,6 +53,7 @@
     roundAt = now;
     List<Claim> claims = new ArrayList<>();
     List<QueueEntry> waiting = new ArrayList<>();
+    worthOfDue = worthOfDue(now);
     for (Job j : world.jobs.values()) {
       if (j.waiting() && !(j.noRoomAt == world.roomVersion && now - j.noRoomSince < PAUSE)) {
         waiting.add(new QueueEntry(j, now));
@@ -186,8 +187,11 @@
   private double worth(Job j, double now) {
     JobSpec s = j.spec;
     List<Double> steps = world.policy.waitSteps().getOrDefault(s.jobClass(), List.of());
-    if (s.isService() || steps.isEmpty() || j.hasDue()) {
-      return 0; // What is due goes by when it is due.
+    if (!s.isService() && j.hasDue()) {
+      return worthOfDue.getOrDefault(j.priority(), 0.0);
+    }
+    if (s.isService() || steps.isEmpty()) {
+      return 0;
     }
     double waited = now - j.submittedAt;
     double last = steps.get(steps.size() - 1);
@@ -205,6 +209,28 @@
     return worth;
   }
 
+  /** What a start of an array that is due is worth at each priority, worked out once a round. */
+  private Map<Priority, Double> worthOfDue = Map.of();
+
+  /**
+   * What is due goes by when it is due, so all of it at one priority has one place beside what has
+   * wanted waits instead: as many jobs as can still be in time over their open tasks. Without that,
+   * a burst of jobs with wanted waits lets everything that is due come too late.
+   */
+  private Map<Priority, Double> worthOfDue(double now) {
+    Map<Priority, Integer> jobs = new EnumMap<>(Priority.class);
+    Map<Priority, Integer> tasks = new EnumMap<>(Priority.class);
+    for (Job j : world.jobs.values()) {
+      if (j.waiting() && !j.spec.isService() && j.hasDue() && now < j.dueAt()) {
+        jobs.merge(j.priority(), 1, Integer::sum);
+        tasks.merge(j.priority(), j.open.cardinality(), Integer::sum);
+      }
+    }
+    Map<Priority, Double> worth = new EnumMap<>(Priority.class);
+    jobs.forEach((priority, n) -> worth.put(priority, n / (double) tasks.get(priority)));
+    return worth;
+  }
+
   private boolean guaranteed(Job j) {
     return world.withinGuarantee(j.spec.team(), j.need);
   }
--- /dev/null
+++ b/src/test/java/graderelay/QueueOrderTest.java
@@ -0,0 +1,38 @@
+package graderelay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import graderelay.core.Scheduler;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * The order of jobs that compete for the same room, where some are due and others want to start.
+ */
+class QueueOrderTest {
+  private static final String WAITING = "j-000001";
+  private static final String DUE = "j-000002";
+
+  /**
+   * Work of one priority with a deadline, and work with wanted waiting times: whichever gives more
+   * jobs in time for its tasks goes first. A large array that wants to start does not let a few
+   * small tasks be late, nor does a large one that is due hold up a small one.
+   */
+  @ParameterizedTest
+  @CsvSource({"50, 4, true", "2, 100, false"})
+  void whatGivesMoreJobsInTimeForItsTasksGoesFirst(
+      int waitingTasks, int dueTasks, boolean dueFirst) {
+    Scheduler scheduler = SchedulerFixture.takingOver(1, Map.of("batch", List.of(25.0, 120.0)));
+    scheduler.loaded(0);
+    scheduler.onJob(SchedulerFixture.array(WAITING, waitingTasks), false, 5, 0, 0);
+    scheduler.onJob(SchedulerFixture.due(DUE, dueTasks, 100), false, 6, 1, 1);
+    SchedulerFixture.machine(scheduler, "n-1", 1, 1, 2); // Room for four.
+    SchedulerFixture.commitAll(scheduler, 10, 2.1);
+    long due = SchedulerFixture.tasksStarted(scheduler, DUE);
+    long waiting = SchedulerFixture.tasksStarted(scheduler, WAITING);
+    assertThat(due).isEqualTo(dueFirst ? 4 : 4 - waitingTasks);
+    assertThat(waiting).isEqualTo(4 - due);
+  }
+}
