--- a/src/main/java/graderelay/api/AdminApi.java
+++ b/src/main/java/graderelay/api/AdminApi.java
@@ -22,7 +22,8 @@
 import graderelay.state.StateClient.How;
 import graderelay.wire.BadRequest;
 import graderelay.wire.Json;
-import graderelay.wire.MeshCodec;
+import graderelay.wire.PeerCodec;
+import graderelay.wire.PeerRequest;
 import graderelay.wire.StateCodec;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -144,20 +145,20 @@
     }
     StateCodec.Owner o = cache.owner();
     String address = o == null ? null : mesh.addressOf(o.member());
-    if (address == null || e.query().contains("relayed")) {
+    if (address == null || e.relayed()) {
       UserApi.unavailable(e, "nobody owns the fleet at the moment");
       return;
     }
     mesh.send(
         address,
-        MeshCodec.request(MeshCodec.ADMIN, e.method(), e.path(), e.query(), e.body()),
+        new PeerRequest.AdminRequest(e.method(), e.path(), e.query(), e.body()),
+        PeerCodec::relayed,
         mesh.timeoutS(),
-        n -> {
-          Answer a = MeshCodec.answer(n);
-          if (a == null) {
+        relayed -> {
+          if (relayed == null) {
             UserApi.unavailable(e, "the owner " + o.member() + " did not answer");
           } else {
-            e.to().accept(a);
+            e.to().accept(relayed.answer());
           }
         });
   }
--- a/src/main/java/graderelay/api/MeshApi.java
+++ b/src/main/java/graderelay/api/MeshApi.java
@@ -1,7 +1,5 @@
 package graderelay.api;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import graderelay.mesh.MeshClient;
 import graderelay.net.Exchange;
 import graderelay.net.Exchange.Answer;
@@ -9,85 +7,86 @@
 import graderelay.state.Leadership;
 import graderelay.state.StateClient;
 import graderelay.wire.Json;
-import graderelay.wire.MeshCodec;
+import graderelay.wire.PeerAnswer;
+import graderelay.wire.PeerCodec;
+import graderelay.wire.PeerRequest;
 import java.util.function.Consumer;
 import java.util.function.Function;
 
 /** Answers the other controllers. */
 public final class MeshApi {
+  private static final int NO_SUCH_MESSAGE = 404;
+
   /** Takes a worker's report that came to another controller. */
   public interface Relayed {
     void accept(String via, byte[] body, Consumer<Answer> to);
   }
 
-  private final Leadership ownership;
+  private final Leadership leadership;
   private final StateClient state;
   private final Cancellations cancellations;
   private final Relayed reports;
-  private final Function<JsonNode, ObjectNode> deputies;
-  private final Exchange.Handler users;
+  private final Function<PeerRequest.Delegation, PeerAnswer.Delegated> delegations;
+  private final Exchange.Handler requests;
 
+  /**
+   * Makes the interface.
+   *
+   * @param requests takes users' and operators' requests that another controller passes on
+   */
   public MeshApi(
-      Leadership ownership,
+      Leadership leadership,
       StateClient state,
       Cancellations cancellations,
       Relayed reports,
-      Function<JsonNode, ObjectNode> deputies,
-      Exchange.Handler users) {
-    this.ownership = ownership;
+      Function<PeerRequest.Delegation, PeerAnswer.Delegated> delegations,
+      Exchange.Handler requests) {
+    this.leadership = leadership;
     this.state = state;
     this.cancellations = cancellations;
     this.reports = reports;
-    this.deputies = deputies;
-    this.users = users;
+    this.delegations = delegations;
+    this.requests = requests;
   }
 
+  /** Answers one request; one of a kind that this version does not know is refused. */
   public void handle(Exchange e) {
-    JsonNode n =
-        e.method().equals("POST") && e.path().equals(MeshClient.PATH)
-            ? Json.readCbor(e.body())
-            : null;
-    switch (MeshCodec.kind(n)) {
-      case MeshCodec.PROMISE -> {
-        boolean granted =
-            ownership.promise(
-                n.path("member").asText(), n.path("term").asLong(), n.path("seconds").asDouble());
-        answer(e, promised(granted));
-      }
-      case MeshCodec.KEEP ->
-          answer(e, promised(ownership.promiseKeep(n.path("seconds").asDouble())));
-      case MeshCodec.SHARE -> {
-        ownership.takeShare(n.path("term").asLong(), n.path("changes").asDouble());
-        answer(e, MeshCodec.shared(state.wantedChanges()));
-      }
-      case MeshCodec.HANDOVER -> {
-        ownership.takeHandover(
-            n.path("member").asText(), n.path("term").asLong(), n.path("hold").asLong());
-        answer(e, Json.object());
-      }
-      case MeshCodec.DEPUTY -> answer(e, deputies.apply(n));
-      case MeshCodec.REPORT ->
-          reports.accept(
-              n.path("member").asText(), MeshCodec.bytes(n), a -> answer(e, MeshCodec.answer(a)));
-      case MeshCodec.USER, MeshCodec.ADMIN ->
-          users.handle(
-              new Exchange(
-                  n.path("method").asText(),
-                  n.path("path").asText(),
-                  (n.path("query").asText().isEmpty() ? "" : n.path("query").asText() + "&")
-                      + "relayed",
-                  MeshCodec.bytes(n),
-                  a -> answer(e, MeshCodec.answer(a))));
-      default -> e.to().accept(Answer.json(404, Json.error("no such message")));
+    boolean message = e.method().equals("POST") && e.path().equals(MeshClient.PATH);
+    PeerRequest request = message ? PeerCodec.request(e.body()) : null;
+    if (request instanceof PeerRequest.Pledge p) {
+      answer(e, pledged(leadership.promise(p.member(), p.term(), p.seconds())));
+    } else if (request instanceof PeerRequest.KeepPledge p) {
+      answer(e, pledged(leadership.promiseKeep(p.seconds())));
+    } else if (request instanceof PeerRequest.Share s) {
+      leadership.takeShare(s.term(), s.changesPerS());
+      answer(e, new PeerAnswer.Wanted(state.wantedChanges()));
+    } else if (request instanceof PeerRequest.Handover h) {
+      leadership.takeHandover(h.member(), h.term(), h.sessionLease());
+      answer(e, new PeerAnswer.Received());
+    } else if (request instanceof PeerRequest.Delegation d) {
+      answer(e, delegations.apply(d));
+    } else if (request instanceof PeerRequest.RelayedReport r) {
+      reports.accept(r.member(), r.body(), a -> answer(e, new PeerAnswer.Relayed(a)));
+    } else if (request instanceof PeerRequest.UserRequest u) {
+      relay(e, u.method(), u.path(), "", u.body());
+    } else if (request instanceof PeerRequest.AdminRequest a) {
+      relay(e, a.method(), a.path(), a.query(), a.body());
+    } else {
+      e.to().accept(Answer.json(NO_SUCH_MESSAGE, Json.error("no such message")));
     }
   }
 
+  private void relay(Exchange e, String method, String path, String query, byte[] body) {
+    requests.handle(
+        new Exchange(method, path, query, body, true, a -> answer(e, new PeerAnswer.Relayed(a))));
+  }
+
   /** The asker renews leases: what we know of cancellations goes with it, granted or not. */
-  private ObjectNode promised(boolean granted) {
-    return MeshCodec.word(MeshCodec.promised(granted, state.reached()), cancellations.word());
+  private PeerAnswer.Pledged pledged(boolean granted) {
+    return new PeerAnswer.Pledged(granted, state.reached(), cancellations.word());
   }
 
-  private static void answer(Exchange e, ObjectNode n) {
-    e.to().accept(new Answer(200, Json.writeCbor(n), "application/cbor", 0, false));
+  private static void answer(Exchange e, PeerAnswer answer) {
+    e.to().accept(new Answer(200, PeerCodec.encode(answer), "application/cbor", 0, false));
   }
 }
--- a/src/main/java/graderelay/api/UserApi.java
+++ b/src/main/java/graderelay/api/UserApi.java
@@ -140,10 +140,7 @@
       unavailable(e, "the state service can't be reached");
       return;
     }
-    double longest =
-        e.query().endsWith("relayed")
-            ? Constants.HANDED_ON_WAIT_S
-            : Constants.LONGEST_SUBMISSION_WAIT_S;
+    double longest = e.relayed() ? Constants.HANDED_ON_WAIT_S : Constants.LONGEST_SUBMISSION_WAIT_S;
     boolean tooLate = state.changeTokens().waitingS() > longest && cache.job(spec.id()) == null;
     if (submissions >= Constants.MOST_SUBMISSIONS || tooLate) {
       e.to().accept(Answer.later(429, Json.error("too many submissions at once")));
@@ -151,11 +148,7 @@
     }
     submissions++;
     Exchange counted =
-        new Exchange(
-            e.method(),
-            e.path(),
-            e.query(),
-            e.body(),
+        e.answeredTo(
             a -> {
               submissions--;
               e.to().accept(a);
--- a/src/main/java/graderelay/mesh/MeshClient.java
+++ b/src/main/java/graderelay/mesh/MeshClient.java
@@ -1,12 +1,13 @@
 package graderelay.mesh;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import graderelay.config.Settings;
 import graderelay.constants.Constants;
 import graderelay.net.Transport;
-import graderelay.wire.Json;
+import graderelay.wire.PeerCodec;
+import graderelay.wire.PeerRequest;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 /** Speaks to the other controllers, in CBOR. */
 public final class MeshClient {
@@ -25,15 +26,23 @@
     return peers;
   }
 
-  /** Sends a message; calls back with the answer, or with null if there was none. */
-  public void send(String address, JsonNode message, double timeoutS, Consumer<JsonNode> done) {
+  /**
+   * Asks a peer; calls back with its answer, or with null if there was none or the peer does not
+   * know the request.
+   */
+  public <T> void send(
+      String address,
+      PeerRequest request,
+      Function<byte[], T> decoder,
+      double timeoutS,
+      Consumer<T> done) {
     transport.call(
         address,
         "POST",
         PATH,
-        Json.writeCbor(message),
+        PeerCodec.encode(request),
         timeoutS,
-        r -> done.accept(r.ok() ? Json.readCbor(r.body()) : null));
+        r -> done.accept(r.ok() ? decoder.apply(r.body()) : null));
   }
 
   /** The address of a member, or null if it is not a peer. */
--- a/src/main/java/graderelay/mesh/RequestHedger.java
+++ b/src/main/java/graderelay/mesh/RequestHedger.java
@@ -6,7 +6,8 @@
 import graderelay.net.Exchange.Answer;
 import graderelay.net.Loop;
 import graderelay.wire.Json;
-import graderelay.wire.MeshCodec;
+import graderelay.wire.PeerCodec;
+import graderelay.wire.PeerRequest;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
@@ -104,7 +105,7 @@
       timer = loop.after(delay(), this::late);
       // Its user must hear of it before giving up: a peer that is away would take longer.
       end = loop.after(longest(), this::giveUp);
-      here.handle(new Exchange(e.method(), e.path(), e.query(), e.body(), a -> answered(a, true)));
+      here.handle(e.answeredTo(a -> answered(a, true)));
     }
 
     void runElsewhere(Exchange.Handler here) {
@@ -124,10 +125,11 @@
       Loop.Timer slow = loop.after(Constants.HANDED_ON_S, ours);
       mesh.send(
           p.address(),
-          MeshCodec.request(MeshCodec.USER, e.method(), e.path(), e.body()),
+          new PeerRequest.UserRequest(e.method(), e.path(), e.body()),
+          PeerCodec::relayed,
           Constants.HANDED_ON_S,
-          n -> {
-            Answer a = MeshCodec.answer(n);
+          relayed -> {
+            Answer a = relayed == null ? null : relayed.answer();
             boolean taken = a != null && a.status() != REFUSED && a.status() != TOO_MANY;
             if (a == null) {
               passedOver.put(p.address(), loop.now() + Constants.PASS_OVER_S);
@@ -192,11 +194,12 @@
       timer = loop.after(delay(), this::late);
       mesh.send(
           p.address(),
-          MeshCodec.request(MeshCodec.USER, e.method(), e.path(), e.body()),
+          new PeerRequest.UserRequest(e.method(), e.path(), e.body()),
+          PeerCodec::relayed,
           Constants.POLL_DEADLINE_S,
-          n -> {
+          relayed -> {
             out--;
-            Answer a = MeshCodec.answer(n);
+            Answer a = relayed == null ? null : relayed.answer();
             if (a == null) {
               passedOver.put(p.address(), loop.now() + Constants.PASS_OVER_S);
             }
--- a/src/main/java/graderelay/net/Exchange.java
+++ b/src/main/java/graderelay/net/Exchange.java
@@ -3,8 +3,22 @@
 import graderelay.constants.Constants;
 import java.util.function.Consumer;
 
-/** A request that came in, and the way to answer it once. */
-public record Exchange(String method, String path, String query, byte[] body, Consumer<Answer> to) {
+/**
+ * A request that came in, and the way to answer it once.
+ *
+ * @param relayed another controller has passed it on, so it is not passed on again
+ */
+public record Exchange(
+    String method, String path, String query, byte[] body, boolean relayed, Consumer<Answer> to) {
+  /** A request that came from outside. */
+  public Exchange(String method, String path, String query, byte[] body, Consumer<Answer> to) {
+    this(method, path, query, body, false, to);
+  }
+
+  /** The same request, whose answer goes another way. */
+  public Exchange answeredTo(Consumer<Answer> other) {
+    return new Exchange(method, path, query, body, relayed, other);
+  }
 
   /**
    * An answer to a request.
--- a/src/main/java/graderelay/service/FleetController.java
+++ b/src/main/java/graderelay/service/FleetController.java
@@ -1,7 +1,6 @@
 package graderelay.service;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import graderelay.cloud.CloudClient;
 import graderelay.config.OperatorSettings;
 import graderelay.config.Settings;
@@ -23,8 +22,8 @@
 import graderelay.state.Leadership;
 import graderelay.state.StateClient;
 import graderelay.state.StateClient.How;
-import graderelay.wire.Json;
-import graderelay.wire.MeshCodec;
+import graderelay.wire.PeerAnswer;
+import graderelay.wire.PeerRequest;
 import graderelay.wire.StateCodec;
 import graderelay.worker.WorkerClient;
 import java.util.List;
@@ -196,19 +195,13 @@
     return orders;
   }
 
-  /** A peer's question to be our deputy; the caller has checked that we may speak. */
-  ObjectNode onDeputy(JsonNode n) {
+  /** A peer asks to be our lease delegate; the caller has checked that we may speak. */
+  PeerAnswer.Grant onDeputy(PeerRequest.Delegation d) {
     double now = loop.now();
     boolean known =
         core.onDeputy(
-            n.path("member").asText(),
-            n.path("self").asText(),
-            n.path("n").asLong(),
-            n.path("of").asLong(),
-            n.path("echo").asDouble(),
-            n.path("alone").asDouble(),
-            now);
-    return known ? MeshCodec.granted(ownership.term(), firstTerm, now) : Json.object();
+            d.member(), d.process(), d.number(), d.grantedBy(), d.echo(), d.aloneS(), now);
+    return known ? new PeerAnswer.Grant(ownership.term(), firstTerm, now) : null;
   }
 
   void onDeputyFree(String member, JsonNode n) {
--- a/src/main/java/graderelay/service/Node.java
+++ b/src/main/java/graderelay/service/Node.java
@@ -1,7 +1,6 @@
 package graderelay.service;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import graderelay.api.AdminApi;
 import graderelay.api.MeshApi;
 import graderelay.api.UserApi;
@@ -26,7 +25,8 @@
 import graderelay.state.Leadership;
 import graderelay.state.StateClient;
 import graderelay.wire.Json;
-import graderelay.wire.MeshCodec;
+import graderelay.wire.PeerAnswer;
+import graderelay.wire.PeerRequest;
 import graderelay.worker.LeaseDelegate;
 import graderelay.worker.WorkerApi;
 import graderelay.worker.WorkerClient;
@@ -255,10 +255,10 @@
   }
 
   /** A peer asks to be our deputy in its zone: only while we speak for the controllers. */
-  private ObjectNode onDeputy(JsonNode n) {
+  private PeerAnswer.Delegated onDeputy(PeerRequest.Delegation d) {
     return duty != null && ownership.entitled()
-        ? MeshCodec.word(duty.onDeputy(n), cancellations.word())
-        : Json.object();
+        ? new PeerAnswer.Delegated(duty.onDeputy(d), cancellations.word())
+        : new PeerAnswer.Delegated(null, null);
   }
 
   /** A peer says that a job was cancelled: carried out at once, written up from its record. */
--- a/src/main/java/graderelay/state/Leadership.java
+++ b/src/main/java/graderelay/state/Leadership.java
@@ -1,12 +1,13 @@
 package graderelay.state;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import graderelay.config.Settings;
 import graderelay.constants.Constants;
 import graderelay.mesh.MeshClient;
 import graderelay.net.Loop;
 import graderelay.net.TokenBucket.Use;
-import graderelay.wire.MeshCodec;
+import graderelay.wire.PeerAnswer;
+import graderelay.wire.PeerCodec;
+import graderelay.wire.PeerRequest;
 import graderelay.wire.StateCodec;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -180,14 +181,15 @@
     for (Settings.Peer p : mesh.peers()) {
       mesh.send(
           p.address(),
-          MeshCodec.share(member, of, shares.getOrDefault(p.member(), state.usualShare())),
+          new PeerRequest.Share(member, of, shares.getOrDefault(p.member(), state.usualShare())),
+          PeerCodec::wanted,
           mesh.timeoutS(),
-          n -> {
-            if (n != null) {
+          wanted -> {
+            if (wanted != null) {
               lastHeard.put(p.member(), loop.now());
             }
             if (owner && term == of) {
-              share(p.member(), n == null ? 0 : n.path("wanted").asDouble());
+              share(p.member(), wanted == null ? 0 : wanted.changes());
             }
           });
       bar(p.member());
@@ -342,23 +344,21 @@
     for (Settings.Peer p : mesh.peers()) {
       mesh.send(
           p.address(),
-          MeshCodec.promise(member, of, Constants.PROMISE_S),
+          new PeerRequest.Pledge(member, of, Constants.PROMISE_S),
+          PeerCodec::pledged,
           mesh.timeoutS(),
-          n -> {
-            heard(n);
-            if (n != null) {
-              cancellations.heard(p.member(), sentAt, MeshCodec.word(n));
-            }
-            if (n == null || !owner || term != of) {
+          answer -> {
+            heard(p.member(), sentAt, answer);
+            if (answer == null || !owner || term != of) {
               return;
             }
-            if (n.path("granted").asBoolean()) {
+            if (answer.granted()) {
               promised.put(
                   p.member(),
                   sentAt + Constants.PROMISE_S * (1 - Constants.DRIFT) - Constants.KEEP_MARGIN_S);
             }
             boolean alone =
-                n.path("reaches").asBoolean()
+                answer.reachesState()
                     && !Double.isNaN(failingSince)
                     && loop.now() - failingSince > Constants.HANDOVER_S;
             if (alone) {
@@ -375,7 +375,12 @@
     long of = term;
     lose("only this node can't reach the state service; leaving the fleet to " + p.member());
     standBack(Constants.PROMISE_S);
-    mesh.send(p.address(), MeshCodec.handover(member, of, old), mesh.timeoutS(), n -> {});
+    mesh.send(
+        p.address(),
+        new PeerRequest.Handover(member, of, old),
+        PeerCodec::received,
+        mesh.timeoutS(),
+        answer -> {});
   }
 
   public long term() {
@@ -471,12 +476,16 @@
   }
 
   /** Notes whether a peer that answers reaches the state service itself. */
-  private void heard(JsonNode answer) {
-    if (answer != null && answer.path("reaches").asBoolean()) {
+  private void heard(String peer, double sentAt, PeerAnswer.Pledged answer) {
+    if (answer == null) {
+      return;
+    }
+    if (answer.reachesState()) {
       lastReaching = loop.now();
-    } else if (answer != null) {
+    } else {
       lastAway = loop.now();
     }
+    cancellations.heard(peer, sentAt, answer.cancellations());
   }
 
   /**
@@ -513,14 +522,12 @@
     for (Settings.Peer p : mesh.peers()) {
       mesh.send(
           p.address(),
-          MeshCodec.keep(member, Constants.KEEP_S),
+          new PeerRequest.KeepPledge(member, Constants.KEEP_S),
+          PeerCodec::pledged,
           mesh.timeoutS(),
-          n -> {
-            heard(n);
-            if (n != null) {
-              cancellations.heard(p.member(), sentAt, MeshCodec.word(n));
-            }
-            if (n != null && n.path("granted").asBoolean()) {
+          answer -> {
+            heard(p.member(), sentAt, answer);
+            if (answer != null && answer.granted()) {
               keepPromised.put(
                   p.member(),
                   sentAt + Constants.KEEP_S * (1 - Constants.DRIFT) - Constants.KEEP_MARGIN_S);
--- /dev/null
+++ b/src/main/java/graderelay/wire/PeerRequest.java
@@ -0,0 +1,39 @@
+package graderelay.wire;
+
+/** What one controller asks of another. {@link PeerCodec} has its form on the wire. */
+public sealed interface PeerRequest {
+  /** The leader can't renew its session lease and asks a peer not to stand for election. */
+  record Pledge(String member, long term, double seconds) implements PeerRequest {}
+
+  /** A controller that keeps workers' leases without a leader asks the same of a peer. */
+  record KeepPledge(String member, double seconds) implements PeerRequest {}
+
+  /** The leader asks how a peer is and lends it changes a second for the moment. */
+  record Share(String member, long term, double changesPerS) implements PeerRequest {}
+
+  /** The leader has stopped and leaves the fleet to a peer, which may end this session lease. */
+  record Handover(String member, long term, long sessionLease) implements PeerRequest {}
+
+  /**
+   * A controller asks the leader to be its lease delegate in its own zone.
+   *
+   * @param process tells this process from earlier ones of the same member
+   * @param number of the question
+   * @param grantedBy the term whose grant it has, 0 for none
+   * @param echo the leader's time of the last grant that it has heard of
+   * @param aloneS seconds since it last answered workers by itself, or since its process began
+   */
+  record Delegation(
+      String member, String process, long number, long grantedBy, double echo, double aloneS)
+      implements PeerRequest {}
+
+  /** Passes on a worker's report that came to this member. */
+  record RelayedReport(String member, byte[] body) implements PeerRequest {}
+
+  /** Passes on a user's request. */
+  record UserRequest(String method, String path, byte[] body) implements PeerRequest {}
+
+  /** Passes on an operator's request. */
+  record AdminRequest(String method, String path, String query, byte[] body)
+      implements PeerRequest {}
+}
--- a/src/main/java/graderelay/worker/LeaseDelegate.java
+++ b/src/main/java/graderelay/worker/LeaseDelegate.java
@@ -1,6 +1,5 @@
 package graderelay.worker;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import graderelay.config.Settings;
 import graderelay.constants.Constants;
 import graderelay.core.Report;
@@ -11,7 +10,9 @@
 import graderelay.state.Cancellations;
 import graderelay.state.Leadership;
 import graderelay.state.StateClient;
-import graderelay.wire.MeshCodec;
+import graderelay.wire.PeerAnswer;
+import graderelay.wire.PeerCodec;
+import graderelay.wire.PeerRequest;
 import graderelay.wire.StateCodec;
 
 /**
@@ -142,27 +143,28 @@
     long n = ++asked;
     mesh.send(
         address,
-        MeshCodec.deputy(member, self, n, of, echo, sentAt - lastAlone),
+        new PeerRequest.Delegation(member, self, n, of, echo, sentAt - lastAlone),
+        PeerCodec::delegated,
         mesh.timeoutS(),
-        r -> {
-          if (r != null) {
-            cancellations.adopt(sentAt, MeshCodec.word(r));
+        answer -> {
+          if (answer != null) {
+            cancellations.adopt(sentAt, answer.cancellations());
           }
-          if (r != null && r.path("granted").asBoolean() && n > voidUpTo) {
-            granted(r, sentAt);
+          if (answer != null && answer.grant() != null && n > voidUpTo) {
+            granted(answer.grant(), sentAt);
           }
         });
   }
 
-  private void granted(JsonNode r, double sentAt) {
-    long itsTerm = r.path("term").asLong();
+  private void granted(PeerAnswer.Grant grant, double sentAt) {
+    long itsTerm = grant.term();
     if (closed || ownership.owner() || itsTerm < term) {
       return;
     }
-    boolean same = of == r.path("of").asLong();
+    boolean same = of == grant.grantedBy();
     term = itsTerm;
-    of = r.path("of").asLong();
-    echo = same ? Math.max(echo, r.path("at").asDouble()) : r.path("at").asDouble();
+    of = grant.grantedBy();
+    echo = same ? Math.max(echo, grant.at()) : grant.at();
     until = same ? Math.max(until, sentAt + lengthS) : sentAt + lengthS;
     lastContact = loop.now();
     givingBack = false;
--- a/src/main/java/graderelay/worker/WorkerApi.java
+++ b/src/main/java/graderelay/worker/WorkerApi.java
@@ -11,7 +11,8 @@
 import graderelay.state.Cancellations;
 import graderelay.state.Leadership;
 import graderelay.wire.Json;
-import graderelay.wire.MeshCodec;
+import graderelay.wire.PeerCodec;
+import graderelay.wire.PeerRequest;
 import graderelay.wire.StateCodec;
 import graderelay.wire.WorkerCodec;
 import java.util.LinkedHashMap;
@@ -108,12 +109,12 @@
     }
     mesh.send(
         address,
-        MeshCodec.report(member, e.body()),
+        new PeerRequest.RelayedReport(member, e.body()),
+        PeerCodec::relayed,
         mesh.timeoutS(),
-        n -> {
-          Answer a = MeshCodec.answer(n);
-          if (a != null && a.status() == 200) {
-            e.to().accept(a);
+        relayed -> {
+          if (relayed != null && relayed.answer().status() == 200) {
+            e.to().accept(relayed.answer());
           } else {
             elsewhere(e.to(), o.member());
           }
--- a/src/test/java/graderelay/UngrantedPledgesTest.java
+++ b/src/test/java/graderelay/UngrantedPledgesTest.java
@@ -11,7 +11,8 @@
 import graderelay.sim.Rules;
 import graderelay.sim.SimWorld;
 import graderelay.wire.Json;
-import graderelay.wire.MeshCodec;
+import graderelay.wire.PeerCodec;
+import graderelay.wire.PeerRequest;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -95,7 +96,8 @@
   void aMessageOfAnUnknownKindIsRefusedAndChangesNothing() {
     SimWorld w = world(442, 3);
     int[] status = {0};
-    ObjectNode later = MeshCodec.promise("m-1", 99, 60).put("kind", "pledge");
+    byte[] pledge = PeerCodec.encode(new PeerRequest.Pledge("m-1", 99, 60));
+    ObjectNode later = ((ObjectNode) Json.readCbor(pledge)).put("kind", "pledge");
     for (int i = 0; i < w.size; i++) {
       w.nodes[i].handleMesh(
           new Exchange("POST", "/mesh", "", Json.writeCbor(later), a -> status[0] = a.status()));
--- a/src/test/java/graderelay/wire/ProductionFormatsTest.java
+++ b/src/test/java/graderelay/wire/ProductionFormatsTest.java
@@ -29,9 +29,53 @@
   private static final long NOW_MS = 1_700_000_000_000L;
   private static final int LARGE = 16 * 1024;
   private static final byte[] BODY = "{\"saw\":\"n-000100\"}".getBytes(StandardCharsets.UTF_8);
-  private static final CancellationKnowledge WORD =
+  private static final CancellationKnowledge KNOWLEDGE =
       new CancellationKnowledge(true, 512.5, 1.25, List.of("j-000003", "j-000005"));
 
+  /** Every request between controllers, by the name of its bytes. */
+  private static final Map<String, PeerRequest> REQUESTS =
+      Map.of(
+          "promise",
+          new PeerRequest.Pledge("m-1", 41, 0.6),
+          "keep",
+          new PeerRequest.KeepPledge("m-2", 0.6),
+          "share",
+          new PeerRequest.Share("m-1", 41, 2.25),
+          "handover",
+          new PeerRequest.Handover("m-1", 41, 7),
+          "deputy",
+          new PeerRequest.Delegation("m-0", "3fe0a1", 17, 40, 12.5, 2.5),
+          "report",
+          new PeerRequest.RelayedReport("m-2", BODY),
+          "user",
+          new PeerRequest.UserRequest("POST", "/v1/jobs", BODY),
+          "admin",
+          new PeerRequest.AdminRequest("GET", "/admin/jobs", "most=10", BODY));
+
+  /** Every answer between controllers, by the name of its bytes. */
+  private static final Map<String, PeerAnswer> ANSWERS =
+      Map.of(
+          "promise answer",
+          new PeerAnswer.Pledged(true, false, KNOWLEDGE),
+          "promise refusal",
+          new PeerAnswer.Pledged(false, true, KNOWLEDGE),
+          "keep answer",
+          new PeerAnswer.Pledged(true, false, KNOWLEDGE),
+          "share answer",
+          new PeerAnswer.Wanted(3.5),
+          "handover answer",
+          new PeerAnswer.Received(),
+          "deputy answer",
+          new PeerAnswer.Delegated(new PeerAnswer.Grant(41, 40, 99.5), KNOWLEDGE),
+          "deputy refusal",
+          new PeerAnswer.Delegated(null, KNOWLEDGE),
+          "report answer",
+          new PeerAnswer.Relayed(Answer.json(200, BODY)),
+          "user answer",
+          new PeerAnswer.Relayed(Answer.later(503, Json.error("try later"))),
+          "admin answer",
+          new PeerAnswer.Relayed(Answer.json(200, BODY)));
+
   private static JobSpec storedJob(String id) {
     return StateCodec.job(id, ProductionFormats.record(StateCodec.jobKey(id)));
   }
@@ -53,10 +97,6 @@
         .isEqualTo(new String(ProductionFormats.records().get(key), StandardCharsets.UTF_8));
   }
 
-  private static void assertSentAs(String name, JsonNode written) {
-    assertThat(Json.writeCbor(written)).as(name).isEqualTo(ProductionFormats.messages().get(name));
-  }
-
   // ---------------------------------------------------------------- stored records
 
   @Test
@@ -182,49 +222,64 @@
 
   @Test
   void messagesAreSentByteForByteAsBefore() {
-    assertSentAs("promise", MeshCodec.promise("m-1", 41, 0.6));
-    assertSentAs("promise answer", MeshCodec.word(MeshCodec.promised(true, false), WORD));
-    assertSentAs("promise refusal", MeshCodec.word(MeshCodec.promised(false, true), WORD));
-    assertSentAs("keep", MeshCodec.keep("m-2", 0.6));
-    assertSentAs("keep answer", MeshCodec.word(MeshCodec.promised(true, false), WORD));
-    assertSentAs("share", MeshCodec.share("m-1", 41, 2.25));
-    assertSentAs("share answer", MeshCodec.shared(3.5));
-    assertSentAs("handover", MeshCodec.handover("m-1", 41, 7));
-    assertSentAs("handover answer", Json.object());
-    assertSentAs("deputy", MeshCodec.deputy("m-0", "3fe0a1", 17, 40, 12.5, 2.5));
-    assertSentAs("deputy answer", MeshCodec.word(MeshCodec.granted(41, 40, 99.5), WORD));
-    assertSentAs("deputy refusal", MeshCodec.word(Json.object(), WORD));
-    assertSentAs("report", MeshCodec.report("m-2", BODY));
-    assertSentAs("report answer", MeshCodec.answer(Answer.json(200, BODY)));
-    assertSentAs("user", MeshCodec.request(MeshCodec.USER, "POST", "/v1/jobs", BODY));
-    assertSentAs("user answer", MeshCodec.answer(Answer.later(503, Json.error("try later"))));
-    assertSentAs(
-        "admin", MeshCodec.request(MeshCodec.ADMIN, "GET", "/admin/jobs", "most=10", BODY));
-    assertSentAs("admin answer", MeshCodec.answer(Answer.json(200, BODY)));
+    REQUESTS.forEach(
+        (name, request) ->
+            assertThat(PeerCodec.encode(request))
+                .as(name)
+                .isEqualTo(ProductionFormats.messages().get(name)));
+    ANSWERS.forEach(
+        (name, answer) ->
+            assertThat(PeerCodec.encode(answer))
+                .as(name)
+                .isEqualTo(ProductionFormats.messages().get(name)));
+    assertThat(REQUESTS.size() + ANSWERS.size()).isEqualTo(ProductionFormats.messages().size());
   }
 
   @Test
   void messagesOfAnOldControllerAreRead() {
-    assertThat(MeshCodec.word(ProductionFormats.message("promise answer"))).isEqualTo(WORD);
-    assertThat(MeshCodec.word(ProductionFormats.message("deputy answer"))).isEqualTo(WORD);
-    assertThat(MeshCodec.bytes(ProductionFormats.message("report"))).isEqualTo(BODY);
-    assertThat(MeshCodec.answer(ProductionFormats.message("report answer")).status())
-        .isEqualTo(200);
-    Answer later = MeshCodec.answer(ProductionFormats.message("user answer"));
-    assertThat(later.status()).isEqualTo(503);
-    assertThat(later.retryAfterS()).isEqualTo(1);
-    for (String name : ProductionFormats.messages().keySet()) {
-      if (!name.contains(" ")) {
-        assertThat(MeshCodec.kind(ProductionFormats.message(name))).isEqualTo(name);
-      }
-    }
+    REQUESTS.forEach(
+        (name, request) ->
+            assertThat(PeerCodec.request(ProductionFormats.messages().get(name)))
+                .as(name)
+                .usingRecursiveComparison()
+                .isEqualTo(request));
+    ANSWERS.forEach(
+        (name, answer) -> {
+          byte[] sent = ProductionFormats.messages().get(name);
+          PeerAnswer read =
+              switch (name.substring(0, name.indexOf(' '))) {
+                case "promise", "keep" -> PeerCodec.pledged(sent);
+                case "share" -> PeerCodec.wanted(sent);
+                case "handover" -> PeerCodec.received(sent);
+                case "deputy" -> PeerCodec.delegated(sent);
+                default -> PeerCodec.relayed(sent);
+              };
+          assertThat(read).as(name).usingRecursiveComparison().isEqualTo(answer);
+        });
+  }
+
+  @Test
+  void anAnswerThatLacksWhatCameLaterGrantsAndVouchesForNothing() {
+    byte[] empty = Json.writeCbor(Json.object());
+    assertThat(PeerCodec.pledged(empty))
+        .isEqualTo(new PeerAnswer.Pledged(false, false, CancellationKnowledge.NONE));
+    assertThat(PeerCodec.delegated(empty))
+        .isEqualTo(new PeerAnswer.Delegated(null, CancellationKnowledge.NONE));
+    assertThat(PeerCodec.pledged(Json.writeCbor(Json.object().put("granted", true))))
+        .isEqualTo(new PeerAnswer.Pledged(true, false, CancellationKnowledge.NONE));
+    assertThat(PeerCodec.relayed(empty)).isNull();
   }
 
   @Test
-  void anAnswerThatLacksWhatCameLaterVouchesForNothing() {
-    assertThat(MeshCodec.word(Json.object().put("granted", true)))
-        .isEqualTo(CancellationKnowledge.NONE);
-    assertThat(MeshCodec.answer(Json.object())).isNull();
-    assertThat(MeshCodec.kind(Json.object())).isEmpty();
+  void whatIsNoMessageOfThisVersionIsNone() {
+    assertThat(PeerCodec.request(Json.writeCbor(Json.object()))).isNull();
+    assertThat(PeerCodec.request(Json.writeCbor(Json.object().put("kind", "later")))).isNull();
+    byte[] notCbor = {(byte) 0xff, 0};
+    assertThat(PeerCodec.request(notCbor)).isNull();
+    assertThat(PeerCodec.pledged(notCbor)).isNull();
+    assertThat(PeerCodec.wanted(notCbor)).isNull();
+    assertThat(PeerCodec.received(notCbor)).isNull();
+    assertThat(PeerCodec.delegated(notCbor)).isNull();
+    assertThat(PeerCodec.relayed(notCbor)).isNull();
   }
 }
