Needed work goes by the priority of others before its class's wanted wait is over

Cause: in a burst of urgent rescans knot-maps wait with ordinary work until their pipeline's deadline presses, which is later than the 40 s within which they should start. Ruled out: their images, and room after the burst. From 0.4 of the wanted wait on, and until it is over, such a job presses.

--- a/src/main/java/graderelay/constants/Constants.java
+++ b/src/main/java/graderelay/constants/Constants.java
@@ -344,6 +344,9 @@
 
   public static final double PRESSING_S = 20;
 
+  /** Share of its class's wanted wait after which a needed job goes by the priority of others. */
+  public static final double PRESSING_WAIT = 0.4;
+
   /** Final records asked for at once. */
   public static final int MOST_FOUND = 200;
 
--- a/src/main/java/graderelay/core/Dependencies.java
+++ b/src/main/java/graderelay/core/Dependencies.java
@@ -115,12 +115,17 @@
     return all;
   }
 
+  private void press(Job j, double now) {
+    Double wantedWaitS = world.policy.waits().get(j.spec.jobClass());
+    j.press(estimate.applyAsDouble(j.spec), wantedWaitS, now);
+  }
+
   /** Looks which of the needed jobs press; to be called now and then. */
   void look(double now) {
     for (String id : dependents.keySet()) {
       Job j = world.jobs.get(id);
       if (j != null) {
-        j.press(estimate.applyAsDouble(j.spec), now);
+        press(j, now);
       }
     }
   }
@@ -134,7 +139,7 @@
       for (String need : next.poll().needed) {
         Job n = world.jobs.get(need);
         if (n != null && seen.add(n)) {
-          n.press(estimate.applyAsDouble(n.spec), now);
+          press(n, now);
           next.add(n);
         }
       }
--- a/src/main/java/graderelay/core/Job.java
+++ b/src/main/java/graderelay/core/Job.java
@@ -155,11 +155,21 @@
   /** The jobs that need it would be late if it waited with ordinary work. */
   boolean pressing;
 
-  /** Looks how much time is left, given how long a task of it takes. */
-  void press(double estimateS, double now) {
+  /**
+   * Looks how much time is left, given how long a task of it takes and within what time its class
+   * should start, if that is wanted.
+   */
+  void press(double estimateS, Double wantedWaitS, double now) {
+    double waited = now - submittedAt;
+    boolean startPresses =
+        wantedWaitS != null
+            && needed.isEmpty()
+            && waited > wantedWaitS * Constants.PRESSING_WAIT
+            && waited < wantedWaitS;
     pressing =
         neededBy == Double.POSITIVE_INFINITY
-            || neededBy - now < Constants.PRESSING_RUNS * estimateS + Constants.PRESSING_S;
+            || neededBy - now < Constants.PRESSING_RUNS * estimateS + Constants.PRESSING_S
+            || startPresses;
   }
 
   /** A job that needs it has this priority; claims that stand keep theirs. */
--- a/src/test/java/graderelay/QueueOrderTest.java
+++ b/src/test/java/graderelay/QueueOrderTest.java
@@ -2,9 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import graderelay.core.JobSpec;
+import graderelay.core.Priority;
 import graderelay.core.Scheduler;
 import java.util.List;
 import java.util.Map;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -35,4 +38,30 @@
     assertThat(due).isEqualTo(dueFirst ? 4 : 4 - waitingTasks);
     assertThat(waiting).isEqualTo(4 - due);
   }
+
+  /**
+   * A needed job of low priority goes by the priority of the job that needs it from some time
+   * before its class's wanted wait is over, although its deadline is far away.
+   */
+  @Test
+  void aNeededJobPressesBeforeItsWantedWaitIsOver() {
+    Scheduler scheduler = SchedulerFixture.takingOver(1, Map.of("batch", List.of(40.0)));
+    scheduler.loaded(0);
+    SchedulerFixture.machine(scheduler, "n-1", 1, 1, 0); // Room for four.
+    scheduler.onJob(SchedulerFixture.array(WAITING, 40), false, 5, 0, 0);
+    SchedulerFixture.commitAll(scheduler, 10, 0.1);
+    scheduler.onJob(SchedulerFixture.ranked(DUE, Priority.LOW, 1, null), false, 6, 1, 1);
+    JobSpec last = SchedulerFixture.ranked("j-000003", Priority.URGENT, 1, 900.0);
+    scheduler.onJob(last.needing(List.of(DUE)), false, 7, 1, 1);
+    for (int i = 2; i < 16; i += 2) {
+      SchedulerFixture.work(scheduler, "n-1", 2L * i, 0, i);
+      scheduler.tick(i + 0.9);
+    }
+    assertThat(SchedulerFixture.notes(scheduler)).noneMatch(n -> n.contains("preempt"));
+    for (int i = 16; i < 30; i += 2) {
+      SchedulerFixture.work(scheduler, "n-1", 2L * i, 0, i);
+      scheduler.tick(i + 0.9);
+    }
+    assertThat(SchedulerFixture.notes(scheduler)).anyMatch(n -> n.contains("preempt j-000001"));
+  }
 }
