--- a/src/main/java/graderelay/api/AdminApi.java
+++ b/src/main/java/graderelay/api/AdminApi.java
@@ -45,7 +45,7 @@
   private final Settings platform;
   private final StateClient state;
   private final Cache cache;
-  private final Leadership ownership;
+  private final Leadership leadership;
   private final MeshClient mesh;
   private final OperatorSettings defaults;
   private final int mostSlice;
@@ -57,7 +57,7 @@
       Settings platform,
       StateClient state,
       Cache cache,
-      Leadership ownership,
+      Leadership leadership,
       MeshClient mesh,
       OperatorSettings defaults,
       int mostSlice,
@@ -67,7 +67,7 @@
     this.platform = platform;
     this.state = state;
     this.cache = cache;
-    this.ownership = ownership;
+    this.leadership = leadership;
     this.mesh = mesh;
     this.defaults = defaults;
     this.mostSlice = mostSlice;
--- a/src/main/java/graderelay/service/FleetController.java
+++ b/src/main/java/graderelay/service/FleetController.java
@@ -38,7 +38,7 @@
   private final Loop loop;
   private final StateClient state;
   private final Cache cache;
-  private final Leadership ownership;
+  private final Leadership leadership;
   private final CloudClient cloud;
   private final WorkerClient workers;
   private final Scheduler core;
@@ -61,7 +61,7 @@
       Loop loop,
       StateClient state,
       Cache cache,
-      Leadership ownership,
+      Leadership leadership,
       CloudClient cloud,
       WorkerClient workers,
       Policy policy,
@@ -73,7 +73,7 @@
     this.loop = loop;
     this.state = state;
     this.cache = cache;
-    this.ownership = ownership;
+    this.leadership = leadership;
     this.cloud = cloud;
     this.workers = workers;
     this.least = settings.least();
@@ -81,7 +81,7 @@
         new CancellationResolver(cache, new FinalStateLookup(loop, state, cache, least.txnOps()));
     this.operators = operators;
     this.metrics = metrics;
-    this.firstTerm = ownership.term();
+    this.firstTerm = leadership.term();
     this.startedAt = loop.now();
     this.listLagS = policy.listLagS();
     this.core = new Scheduler(policy, firstTerm, random, loop.now());
@@ -201,7 +201,7 @@
     boolean known =
         core.onDeputy(
             d.member(), d.process(), d.number(), d.grantedBy(), d.echo(), d.aloneS(), now);
-    return known ? new PeerAnswer.Grant(ownership.term(), firstTerm, now) : null;
+    return known ? new PeerAnswer.Grant(leadership.term(), firstTerm, now) : null;
   }
 
   void onDeputyFree(String member, JsonNode n) {
@@ -290,7 +290,7 @@
         // A hint, so an answer that is lost doesn't matter; the owner's mark keeps past ones out.
         state.commit(
             new StateClient.Txn()
-                .when(StateCodec.OWNER, ownership.ownerMark())
+                .when(StateCodec.OWNER, leadership.ownerMark())
                 .put(
                     StateCodec.DEMAND,
                     StateCodec.demand(k.classes(), loop.wallMs(), least.valueBytes())),
@@ -299,14 +299,14 @@
       } else if (a instanceof Action.KeepImages k) {
         state.commit(
             new StateClient.Txn()
-                .when(StateCodec.OWNER, ownership.ownerMark())
+                .when(StateCodec.OWNER, leadership.ownerMark())
                 .put(
                     StateCodec.IMAGES + k.part(),
                     StateCodec.images(k.machines(), Constants.KEPT_IMAGES, least.valueBytes())),
             Use.SUBMISSION,
             r -> {});
       } else if (a instanceof Action.RaiseTerm) {
-        ownership.raise(
+        leadership.raise(
             term -> {
               if (!closed) {
                 core.onTerm(term, loop.now());
@@ -318,7 +318,7 @@
   }
 
   private void write(Action.Write w) {
-    StateClient.Txn txn = new StateClient.Txn().when(StateCodec.OWNER, ownership.ownerMark());
+    StateClient.Txn txn = new StateClient.Txn().when(StateCodec.OWNER, leadership.ownerMark());
     java.util.Set<String> jobs = new java.util.HashSet<>();
     for (Action.SlicePut p : w.slices()) {
       String key = StateCodec.sliceKey(p.key());
@@ -387,7 +387,7 @@
   }
 
   private void command(Action.Command c) {
-    if (!ownership.entitled()) {
+    if (!leadership.entitled()) {
       core.onSent(c, Sent.NEVER_LEFT, null, loop.now());
       return;
     }
--- a/src/main/java/graderelay/service/Node.java
+++ b/src/main/java/graderelay/service/Node.java
@@ -51,21 +51,21 @@
   private final StateClient state;
   private final Cache cache;
   private final Cancellations cancellations;
-  private final Leadership ownership;
+  private final Leadership leadership;
   private final CloudClient cloud;
   private final WorkerClient workers;
   private final UserApi users;
   private final WorkerApi reports;
-  private final LeaseDelegate deputy;
+  private final LeaseDelegate leaseDelegate;
   private final MeshClient mesh;
   private final MeshApi meshApi;
-  private final RequestHedger hedge;
+  private final RequestHedger requestHedger;
   private final OperatorSettings defaults;
   private OperatorSettings operators;
   private final Metrics metrics;
   private final AdminApi admin;
   private List<MachineType> types;
-  private FleetController duty;
+  private FleetController fleetController;
   private Loop.Timer typesTimer;
   private Loop.Timer tickTimer;
   private boolean closed;
@@ -91,7 +91,7 @@
     this.mesh = new MeshClient(transport, s.peers());
     this.cancellations = new Cancellations(loop, cache, s);
     cancellations.listen(this::onCancelled);
-    this.ownership =
+    this.leadership =
         new Leadership(
             loop,
             state,
@@ -107,33 +107,46 @@
     this.workers = new WorkerClient(transport);
     this.users =
         new UserApi(loop, state, cache, cancellations, s, () -> types, () -> operators.sliceCap());
-    this.deputy =
-        new LeaseDelegate(loop, mesh, ownership, cache, state, cancellations, s, random.nextLong());
+    this.leaseDelegate =
+        new LeaseDelegate(
+            loop, mesh, leadership, cache, state, cancellations, s, random.nextLong());
     this.reports =
         new WorkerApi(
-            loop, ownership, cache, mesh, deputy, cancellations, s.member(), this::onReport);
+            loop,
+            leadership,
+            cache,
+            mesh,
+            leaseDelegate,
+            cancellations,
+            s.member(),
+            this::onReport);
     this.admin =
         new AdminApi(
             loop,
             s,
             state,
             cache,
-            ownership,
+            leadership,
             mesh,
             defaults,
             mostSlice(s),
             this::core,
             this::ready);
-    this.hedge =
-        new RequestHedger(loop, mesh, state::stuck, ownership::awayForAll, this::mayAnswer);
+    this.requestHedger =
+        new RequestHedger(loop, mesh, state::stuck, leadership::awayForAll, this::mayAnswer);
     this.meshApi =
         new MeshApi(
-            ownership, state, cancellations, reports::relayed, this::onDeputy, this::handleRelayed);
+            leadership,
+            state,
+            cancellations,
+            reports::relayed,
+            this::onDeputy,
+            this::handleRelayed);
   }
 
   /** A leader knows which peers answer; a follower finds out by asking. */
   private boolean mayAnswer(String peer) {
-    return !ownership.owner() || ownership.hears(peer);
+    return !leadership.owner() || leadership.hears(peer);
   }
 
   private static int mostSlice(Settings s) {
@@ -173,18 +186,18 @@
     metrics.start();
     cache.start();
     readTypes();
-    deputy.start();
+    leaseDelegate.start();
     tick();
   }
 
   /** Ends the duties in the opposite order of their start. */
   public void close() {
     closed = true;
-    if (duty != null) {
-      duty.close();
+    if (fleetController != null) {
+      fleetController.close();
     }
-    deputy.close();
-    ownership.close();
+    leaseDelegate.close();
+    leadership.close();
     metrics.close();
     cache.close();
     if (typesTimer != null) {
@@ -199,7 +212,7 @@
     if (closed) {
       return;
     }
-    ownership.tick();
+    leadership.tick();
     tickTimer = loop.after(Constants.TICK_S, this::tick);
   }
 
@@ -211,14 +224,14 @@
         list -> {
           if (list != null && !list.isEmpty()) {
             types = list;
-            if (duty != null) {
-              duty.onTypes(list);
+            if (fleetController != null) {
+              fleetController.onTypes(list);
             }
           }
           double wait =
               types == null
                   ? Constants.TYPES_RETRY_S
-                  : Constants.TYPES_EVERY_S * (ownership.owner() ? 1 : 5);
+                  : Constants.TYPES_EVERY_S * (leadership.owner() ? 1 : 5);
           typesTimer = loop.after(wait, this::readTypes);
         });
   }
@@ -230,41 +243,41 @@
     // While the state service refuses us alone, a peer decides what we are asked; while it is away
     // for all, what can be answered is, and the rest is told at once when to come back.
     return here
-        || loop.now() - hedge.lastHelp() < Constants.READY_S
-        || (cache.loaded() && types != null && ownership.awayForAll());
+        || loop.now() - requestHedger.lastHelp() < Constants.READY_S
+        || (cache.loaded() && types != null && leadership.awayForAll());
   }
 
   public boolean owner() {
-    return ownership.owner();
+    return leadership.owner();
   }
 
   /** True while this node may answer workers for all controllers. */
   public boolean speaks() {
-    return ownership.entitled();
+    return leadership.entitled();
   }
 
   /** For tests and questions: the core while this node owns the fleet, else null. */
   public graderelay.core.Scheduler core() {
-    return duty == null ? null : duty.core();
+    return fleetController == null ? null : fleetController.core();
   }
 
   private List<WorkerCommand> onReport(Report r, String via) {
     // An owner that is still reading the records keeps leases alive, and orders nothing: it counts
     // them from when its duty begins, which is later.
-    return duty == null ? List.of() : duty.onReport(r, via);
+    return fleetController == null ? List.of() : fleetController.onReport(r, via);
   }
 
   /** A peer asks to be our deputy in its zone: only while we speak for the controllers. */
   private PeerAnswer.Delegated onDeputy(PeerRequest.Delegation d) {
-    return duty != null && ownership.entitled()
-        ? new PeerAnswer.Delegated(duty.onDeputy(d), cancellations.word())
+    return fleetController != null && leadership.entitled()
+        ? new PeerAnswer.Delegated(fleetController.onDeputy(d), cancellations.word())
         : new PeerAnswer.Delegated(null, null);
   }
 
   /** A peer says that a job was cancelled: carried out at once, written up from its record. */
   private void onCancelled(String job) {
-    if (duty != null) {
-      duty.onCancelled(job);
+    if (fleetController != null) {
+      fleetController.onCancelled(job);
     }
   }
 
@@ -298,9 +311,9 @@
     } else if (AdminApi.owns(path)) {
       admin.handle(e);
     } else if (post && path.equals(JOBS) && submissionsWaitHere()) {
-      hedge.handleElsewhere(e, this::handleHere);
+      requestHedger.handleElsewhere(e, this::handleHere);
     } else {
-      hedge.handle(e, this::handleHere);
+      requestHedger.handle(e, this::handleHere);
     }
   }
 
@@ -310,7 +323,7 @@
    * once, it can write one or two without waiting, and its peers' shares lie idle meanwhile.
    */
   private boolean submissionsWaitHere() {
-    return ownership.owner()
+    return leadership.owner()
         ? state.changeTokens().waiting() > 0
         : state.changeTokens().wouldWait(1);
   }
@@ -388,34 +401,44 @@
     /** Starts the duty as soon as the records are known as they stood when the term was won. */
     private void takeUp(long term, double since) {
       if (!cache.loaded()) {
-        if (!closed && ownership.owner() && ownership.term() == term) {
+        if (!closed && leadership.owner() && leadership.term() == term) {
           loop.after(Constants.TAKE_UP_RETRY_S, () -> takeUp(term, since));
         }
         return;
       }
       cache.catchUp(
           ok -> {
-            if (closed || !ownership.owner() || ownership.term() != term) {
+            if (closed || !leadership.owner() || leadership.term() != term) {
               return;
             }
             if (!ok || types == null) {
               loop.after(Constants.STATE_RETRY_S, () -> takeUp(term, since));
               return;
             }
-            duty =
+            fleetController =
                 new FleetController(
-                    loop, state, cache, ownership, cloud, workers, policy(), settings, operators,
-                    metrics, random, types);
-            duty.start();
+                    loop,
+                    state,
+                    cache,
+                    leadership,
+                    cloud,
+                    workers,
+                    policy(),
+                    settings,
+                    operators,
+                    metrics,
+                    random,
+                    types);
+            fleetController.start();
             metrics.span("graderelay.takeover", loop.now() - since);
           });
     }
 
     @Override
     public void onLost(String why) {
-      if (duty != null) {
-        duty.close();
-        duty = null;
+      if (fleetController != null) {
+        fleetController.close();
+        fleetController = null;
       }
     }
   }
@@ -423,48 +446,48 @@
   private final class Changes implements Cache.Listener {
     @Override
     public void onJob(Cache.Entry e) {
-      if (duty != null) {
-        duty.onJob(e);
+      if (fleetController != null) {
+        fleetController.onJob(e);
       }
     }
 
     @Override
     public void onJobGone(String id) {
-      if (duty != null) {
-        duty.onJobGone(id);
+      if (fleetController != null) {
+        fleetController.onJobGone(id);
       }
     }
 
     @Override
     public void onSlice(SliceKey key, Cache.SliceEntry s) {
-      if (duty != null) {
-        duty.onSlice(key, s);
+      if (fleetController != null) {
+        fleetController.onSlice(key, s);
       }
     }
 
     @Override
     public void onSliceGone(SliceKey key) {
-      if (duty != null) {
-        duty.onSliceGone(key);
+      if (fleetController != null) {
+        fleetController.onSliceGone(key);
       }
     }
 
     @Override
     public void onEnd(String id, Cache.End e) {
-      if (duty != null) {
-        duty.onEnd(id, e);
+      if (fleetController != null) {
+        fleetController.onEnd(id, e);
       }
     }
 
     @Override
     public void onOwner() {
-      ownership.consider();
+      leadership.consider();
     }
 
     @Override
     public void onDeputyFree(String member, JsonNode record) {
-      if (duty != null) {
-        duty.onDeputyFree(member, record);
+      if (fleetController != null) {
+        fleetController.onDeputyFree(member, record);
       }
     }
 
@@ -475,8 +498,8 @@
       if (!operators.logLevel().equals(before)) {
         Logs.level(operators.logLevel());
       }
-      if (duty != null) {
-        duty.onSettings(operators);
+      if (fleetController != null) {
+        fleetController.onSettings(operators);
       }
     }
   }
--- a/src/main/java/graderelay/wire/StateCodec.java
+++ b/src/main/java/graderelay/wire/StateCodec.java
@@ -85,7 +85,7 @@
   }
 
   /** A deputy has given back all grants up to that of its question {@code n}. */
-  public static ObjectNode deputy(String self, long n, long of, double aloneS) {
+  public static ObjectNode leaseDelegate(String self, long n, long of, double aloneS) {
     return Json.object().put("self", self).put("n", n).put("of", of).put("alone", aloneS);
   }
 
--- a/src/main/java/graderelay/worker/LeaseDelegate.java
+++ b/src/main/java/graderelay/worker/LeaseDelegate.java
@@ -24,7 +24,7 @@
 public final class LeaseDelegate {
   private final Loop loop;
   private final MeshClient mesh;
-  private final Leadership ownership;
+  private final Leadership leadership;
   private final Cache cache;
   private final StateClient state;
   private final Cancellations cancellations;
@@ -52,7 +52,7 @@
   public LeaseDelegate(
       Loop loop,
       MeshClient mesh,
-      Leadership ownership,
+      Leadership leadership,
       Cache cache,
       StateClient state,
       Cancellations cancellations,
@@ -60,7 +60,7 @@
       long nonce) {
     this.loop = loop;
     this.mesh = mesh;
-    this.ownership = ownership;
+    this.leadership = leadership;
     this.cache = cache;
     this.state = state;
     this.cancellations = cancellations;
@@ -117,9 +117,9 @@
     double now = loop.now();
     StateCodec.Owner o = cache.owner();
     String address = o == null ? null : mesh.addressOf(o.member());
-    if (ownership.entitled()) {
+    if (leadership.entitled()) {
       // Should we lose the fleet, the next owner counts as much from its own takeover.
-      term = ownership.term();
+      term = leadership.term();
       of = 0;
       until = now + lengthS;
       lastContact = now;
@@ -158,7 +158,7 @@
 
   private void granted(PeerAnswer.Grant grant, double sentAt) {
     long itsTerm = grant.term();
-    if (closed || ownership.owner() || itsTerm < term) {
+    if (closed || leadership.owner() || itsTerm < term) {
       return;
     }
     boolean same = of == grant.grantedBy();
@@ -174,7 +174,9 @@
     long upTo = voidUpTo;
     state.commit(
         new StateClient.Txn()
-            .put(StateCodec.DEPUTIES + member, StateCodec.deputy(self, upTo, of, now - lastAlone)),
+            .put(
+                StateCodec.DEPUTIES + member,
+                StateCodec.leaseDelegate(self, upTo, of, now - lastAlone)),
         Use.CLAIM,
         r -> {
           if (r.done() && voidUpTo == upTo) {
--- a/src/main/java/graderelay/worker/WorkerApi.java
+++ b/src/main/java/graderelay/worker/WorkerApi.java
@@ -30,10 +30,10 @@
   private record Pointed(double at, double relayedSince, long session, long seq) {}
 
   private final Loop loop;
-  private final Leadership ownership;
+  private final Leadership leadership;
   private final Cache cache;
   private final MeshClient mesh;
-  private final LeaseDelegate deputy;
+  private final LeaseDelegate leaseDelegate;
   private final Cancellations cancellations;
   private final String member;
   private final BiFunction<Report, String, List<WorkerCommand>> fleet;
@@ -41,18 +41,18 @@
 
   public WorkerApi(
       Loop loop,
-      Leadership ownership,
+      Leadership leadership,
       Cache cache,
       MeshClient mesh,
-      LeaseDelegate deputy,
+      LeaseDelegate leaseDelegate,
       Cancellations cancellations,
       String member,
       BiFunction<Report, String, List<WorkerCommand>> fleet) {
     this.loop = loop;
-    this.ownership = ownership;
+    this.leadership = leadership;
     this.cache = cache;
     this.mesh = mesh;
-    this.deputy = deputy;
+    this.leaseDelegate = leaseDelegate;
     this.cancellations = cancellations;
     this.member = member;
     this.fleet = fleet;
@@ -64,20 +64,20 @@
       e.to().accept(Answer.json(400, Json.error("not a report")));
       return;
     }
-    if (ownership.owner()) {
+    if (leadership.owner()) {
       answer(r, "", e.to());
       return;
     }
-    if (ownership.keeping() && r.term() > 0 && cancellations.mayRenew()) {
+    if (leadership.keeping() && r.term() > 0 && cancellations.mayRenew()) {
       // Under the worker's own term: its lease goes on, and what is cancelled ends.
       renew(e.to(), r.term(), cancellations.kills(r));
       return;
     }
-    if (deputy.answers(r)) {
-      renew(e.to(), deputy.term(), cancellations.kills(r));
+    if (leaseDelegate.answers(r)) {
+      renew(e.to(), leaseDelegate.term(), cancellations.kills(r));
       return;
     }
-    ownership.wantKeep();
+    leadership.wantKeep();
     StateCodec.Owner o = cache.owner();
     String address = o == null ? null : mesh.addressOf(o.member());
     Pointed p = pointed.remove(r.machine());
@@ -132,13 +132,13 @@
   }
 
   private void answer(Report r, String via, Consumer<Answer> to) {
-    boolean may = ownership.entitled() && cancellations.mayRenew();
+    boolean may = leadership.entitled() && cancellations.mayRenew();
     List<WorkerCommand> orders = may ? fleet.apply(r, via) : null;
     if (orders == null) {
       elsewhere(to, null);
       return;
     }
-    renew(to, ownership.term(), cancellations.withKills(r, orders));
+    renew(to, leadership.term(), cancellations.withKills(r, orders));
   }
 
   /** The answer that renews a lease: whoever gives it has asked {@link Cancellations} before. */
--- a/src/test/java/graderelay/wire/ProductionFormatsTest.java
+++ b/src/test/java/graderelay/wire/ProductionFormatsTest.java
@@ -180,7 +180,7 @@
     assertStoredAs("g/term", StateCodec.term(41, "m-1"));
     assertStoredAs("g/bar/m-2", StateCodec.bar(""));
     assertStoredAs("g/bar/m-0", StateCodec.bar("3fe0a1"));
-    assertStoredAs("g/deputy/m-0", StateCodec.deputy("3fe0a1", 17, 40, 2.5));
+    assertStoredAs("g/deputy/m-0", StateCodec.leaseDelegate("3fe0a1", 17, 40, 2.5));
     assertStoredAs("g/job/j-000001", StateCodec.job(storedJob("j-000001"), false));
     assertStoredAs("g/job/j-000002", StateCodec.job(storedJob("j-000002"), false));
     assertStoredAs("g/job/j-000003", StateCodec.job(storedJob("j-000003"), true));
