--- /dev/null
+++ b/src/test/java/graderelay/CancellationInOutageTest.java
@@ -0,0 +1,351 @@
+package graderelay;
+
+import static graderelay.WorldAssertions.fine;
+import static graderelay.WorldAssertions.runner;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import graderelay.constants.Constants;
+import graderelay.sim.Rules;
+import graderelay.sim.SimWorld;
+import graderelay.wire.StateCodec;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Jobs that are cancelled before or in an outage of the state service. */
+class CancellationInOutageTest {
+  private static final List<String> ONE_ZONE = List.of("a");
+
+  private static SimWorld world(long seed, int size) {
+    return WorldAssertions.world(seed, size);
+  }
+
+  private static SimWorld oneZone(long seed, int size) {
+    return zoned(seed, size, "a");
+  }
+
+  /** A world whose zones have these letters for names. */
+  private static SimWorld zoned(long seed, int size, String zones) {
+    List<String> names = List.of(zones.split("(?<=.)"));
+    SimWorld w = new SimWorld(seed, SimWorld.Shape.of(size).fleet(8, names));
+    w.loop.run(3);
+    return w;
+  }
+
+  /** Services that run when the story begins. */
+  private static Rules.Known[] running(SimWorld w, int jobs) {
+    Rules.Known[] all = new Rules.Known[jobs];
+    for (int i = 0; i < jobs; i++) {
+      all[i] = w.job(String.format("j-0003%02d", i), 2, 1, 0, false);
+      w.submit(i % w.size, all[i]);
+    }
+    w.loop.run(15);
+    assertThat(w.rules.starts).isEqualTo(2 * jobs);
+    return all;
+  }
+
+  private static void refuse(SimWorld w, int node, boolean on) {
+    w.refused[node][0] = on;
+  }
+
+  private static int other(SimWorld w, int node) {
+    return (node + 1) % w.size;
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "3, ab, 0.3, 0.4, 13", "3, ab, 0.3, 0.4, 90", "3, a, 0.3, 0.4, 60", "5, ab, 0.3, 0.4, 60",
+    "5, a, 0.1, 0.2, 60", "3, ab, 0, 0.05, 60", "3, a, 1, 1.2, 60", "3, ab, 2, 2.1, 60",
+    "3, a, 5, 5.1, 60", "5, ab, 9, 10, 60", "3, ab, 0.8, 10, 90", "1, a, 0, 0.05, 60"
+  })
+  void aCancellationThatTheOwnerCouldNotReadIsCarriedOutThroughAnOutageForAll(
+      int size, String zones, double cancelAfter, double outageAfter, double length) {
+    SimWorld w = zoned(301, size, zones);
+    Rules.Known[] jobs = running(w, 3);
+    int owner = w.owner();
+    refuse(w, owner, size > 1);
+    w.loop.run(cancelAfter);
+    for (Rules.Known j : jobs) {
+      w.cancel(other(w, owner), j);
+    }
+    w.loop.run(outageAfter - cancelAfter);
+    w.state.outage(true);
+    w.loop.run(14 - outageAfter);
+    refuse(w, owner, false);
+    w.loop.run(length);
+    w.state.outage(false);
+    w.loop.run(30);
+    fine(w);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"3, ab", "3, a", "5, ab", "5, a"})
+  void theTasksOfAJobCancelledAtAnotherControllerAreStoppedWithinTheOutage(int size, String zones) {
+    SimWorld w = zoned(302, size, zones);
+    Rules.Known[] jobs = running(w, 2);
+    int owner = w.owner();
+    refuse(w, owner, true);
+    w.cancel(other(w, owner), jobs[0]);
+    w.loop.run(0.1);
+    w.state.outage(true);
+    w.loop.run(0.5);
+    assertThat(jobs[0].cancelAnswered).isNotNaN();
+    // Everybody alive vouches for what it told: the job's tasks end, the others' go on.
+    w.loop.run(8);
+    assertThat(w.workers.values()).noneMatch(x -> x.running().contains(jobs[0].id + "/0"));
+    assertThat(runner(w, jobs[1].id + "/0")).isNotNull();
+    w.loop.run(2 * SimWorld.CANCEL_S);
+    assertThat(runner(w, jobs[1].id + "/1")).isNotNull();
+    assertThat(w.rules.trace()).noneMatch(x -> x.contains("lease over"));
+    w.state.outage(false);
+    refuse(w, owner, false);
+    w.loop.run(20);
+    assertThat(w.stage(0, jobs[0].id)).isEqualTo("cancelled");
+    assertThat(w.stage(0, jobs[1].id)).isEqualTo("running");
+    fine(w);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"a, 0.05, -1", "ab, 0.05, -1", "a, 0.05, 2", "ab, 1, 8", "a, 1, 0.2"})
+  void aGatewayThatEndsRightAfterConfirmingTakesItsKnowledgeWithIt(
+      String zones, double endsAfter, double backAfter) {
+    SimWorld w = zoned(303, 3, zones);
+    Rules.Known[] jobs = running(w, 2);
+    int owner = w.owner();
+    int gateway = other(w, owner);
+    refuse(w, (owner + 2) % 3, true); // So that the third does not read of it either.
+    w.loop.run(3);
+    refuse(w, owner, true);
+    // The owner and the gateway don't hear each other, so that it can't be told beforehand.
+    w.net.cut("c" + owner, "c" + gateway);
+    w.cancel(gateway, jobs[0]);
+    w.loop.run(endsAfter);
+    assertThat(jobs[0].cancelAnswered).isNotNaN();
+    w.state.outage(true);
+    w.crash(gateway);
+    w.net.heal("c" + owner, "c" + gateway);
+    if (backAfter > 0) {
+      w.loop.after(backAfter, () -> w.start(gateway));
+    }
+    w.loop.run(2 * SimWorld.CANCEL_S);
+    w.state.outage(false);
+    for (int i = 0; i < 3; i++) {
+      refuse(w, i, false);
+    }
+    w.loop.run(20);
+    fine(w);
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {3, 5})
+  void aBarredControllerConfirmsNoCancellationThatTheOwnerCannotRead(int size) {
+    SimWorld w = oneZone(304, size);
+    Rules.Known[] jobs = running(w, 2);
+    int owner = w.owner();
+    int barred = other(w, owner);
+    // It is up and serves users, but the owner does not hear it.
+    w.net.cut("c" + owner, "c" + barred);
+    w.loop.run(Constants.BAR_AFTER_S + 3);
+    for (int i = 0; i < size; i++) {
+      refuse(w, i, i != owner && i != barred);
+    }
+    w.loop.run(3);
+    refuse(w, owner, true);
+    int told =
+        w.answer(barred, "POST", "/v1/jobs/" + jobs[0].id + "/withdraw", null).path("http").asInt();
+    assertThat(told).isEqualTo(503);
+    w.loop.run(Constants.BAR_S - 8); // The owner counts on the bar meanwhile.
+    assertThat(w.owner()).isEqualTo(owner);
+    assertThat(w.rules.trace()).noneMatch(x -> x.contains("lease over"));
+    fine(w);
+  }
+
+  @Test
+  void aBarredControllerDoesNotRepeatWhatOthersHaveCancelled() {
+    SimWorld w = oneZone(305, 3);
+    Rules.Known[] jobs = running(w, 1);
+    int owner = w.owner();
+    int barred = other(w, owner);
+    w.net.cut("c" + owner, "c" + barred);
+    w.loop.run(Constants.BAR_AFTER_S + 3);
+    // The third records it, but hears of that as little as the owner does.
+    int third = (owner + 2) % 3;
+    w.net.cut("c" + barred, "c" + third);
+    w.state.loseAnswer = t -> t.toString().contains("\"stop\":true");
+    w.cancel(third, jobs[0]);
+    refuse(w, owner, true);
+    w.loop.run(0.02);
+    refuse(w, third, true);
+    w.loop.run(0.5);
+    assertThat(w.answer(barred, "GET", "/v1/jobs/" + jobs[0].id, null).path("http").asInt())
+        .isEqualTo(503);
+    fine(w);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"true, 0.1", "true, 5", "false, 0.1", "false, 5"})
+  void aDeputyKnowsNoMoreThanTheOwnerThatMadeItOne(boolean ownersZone, double outageAfter) {
+    SimWorld w = world(306, 5);
+    Rules.Known[] jobs = running(w, 3);
+    int owner = w.owner();
+    // The owner lives on promises already when the zone is cut.
+    refuse(w, owner, true);
+    for (int i = 0; i < 5; i++) {
+      refuse(w, i, i != other(w, owner));
+    }
+    w.net.cut("c" + owner, "c" + other(w, owner));
+    for (Rules.Known j : jobs) {
+      w.cancel(other(w, owner), j);
+    }
+    w.loop.run(outageAfter);
+    assertThat(jobs[0].cancelAnswered).isNotNaN();
+    w.state.outage(true);
+    w.net.cutZone((owner % 2 == 0) == ownersZone ? "a" : "b", true);
+    w.loop.run(2 * SimWorld.CANCEL_S);
+    fine(w);
+  }
+
+  @Test
+  void leasesKeptWithoutAnOwnerEndTheTasksOfACancelledJob() {
+    SimWorld w = world(308, 3);
+    Rules.Known[] jobs = running(w, 2);
+    int owner = w.owner();
+    refuse(w, owner, true);
+    while (w.owner() == owner) {
+      w.loop.run(0.001);
+    }
+    w.cancel(other(w, owner), jobs[0]);
+    while (Double.isNaN(jobs[0].cancelAnswered)) {
+      w.loop.run(0.001);
+    }
+    w.state.outage(true); // Handed over, and nobody can take it any more.
+    w.loop.run(10);
+    assertThat(w.owner()).isNegative();
+    assertThat(w.workers.values()).noneMatch(x -> x.running().contains(jobs[0].id + "/0"));
+    w.loop.run(2 * SimWorld.CANCEL_S);
+    assertThat(runner(w, jobs[1].id + "/0")).isNotNull();
+    assertThat(w.rules.trace()).noneMatch(x -> x.contains("lease over"));
+    fine(w);
+  }
+
+  @Test
+  void aBarThatIsPutUpWhileAStopIsUnderWayMakesItFail() {
+    SimWorld w = oneZone(309, 3);
+    Rules.Known[] jobs = running(w, 1);
+    int owner = w.owner();
+    int barred = other(w, owner);
+    w.net.cut("c" + owner, "c" + barred);
+    w.net.cut("c" + barred, "c" + (owner + 2) % 3);
+    w.loop.run(0.5);
+    w.state.delayS = 7;
+    w.state.delay = t -> t.toString().contains("\"stop\":true");
+    w.cancel(barred, jobs[0]);
+    w.loop.run(Constants.BAR_AFTER_S + 2);
+    assertThat(w.state.value(StateCodec.barKey("m-" + barred))).isNotNull();
+    refuse(w, owner, true); // It has seen the bar stand, and no stop.
+    w.loop.run(4);
+    assertThat(w.state.value(StateCodec.jobKey(jobs[0].id)).path("stop").asBoolean()).isFalse();
+    fine(w);
+  }
+
+  @Test
+  void whatAGatewayHasJustCommittedIsInItsWordAlsoIfItHasNotReadItYet() {
+    SimWorld w = world(310, 3);
+    Rules.Known[] jobs = running(w, 1);
+    int owner = w.owner();
+    refuse(w, owner, true);
+    w.state.loseAnswer =
+        t -> {
+          w.state.holdWatches |= t.toString().contains("\"stop\":true");
+          return false;
+        };
+    w.cancel(other(w, owner), jobs[0]);
+    w.loop.run(0.1);
+    assertThat(jobs[0].cancelAnswered).isNotNaN();
+    w.state.outage(true);
+    w.loop.run(8);
+    assertThat(w.workers.values()).allMatch(x -> x.running().isEmpty());
+    fine(w);
+  }
+
+  /**
+   * A gateway confirms, ends, and comes back in the outage: its promise is all that it can give.
+   */
+  private static SimWorld withAForgetfulGateway(int size, List<String> zones) {
+    SimWorld w = new SimWorld(315, SimWorld.Shape.of(size).fleet(8, zones));
+    w.loop.run(3);
+    Rules.Known[] jobs = running(w, 3);
+    int owner = w.owner();
+    int gateway = other(w, owner);
+    for (int i = 0; i < size; i++) {
+      refuse(w, i, i != owner && i != gateway);
+    }
+    w.loop.run(3);
+    refuse(w, owner, true);
+    w.net.cut("c" + owner, "c" + gateway);
+    for (Rules.Known j : jobs) {
+      w.cancel(gateway, j);
+    }
+    w.loop.run(0.1);
+    assertThat(jobs[2].cancelAnswered).isNotNaN();
+    w.state.outage(true);
+    w.crash(gateway);
+    w.net.heal("c" + owner, "c" + gateway);
+    w.loop.run(1);
+    w.start(gateway);
+    return w;
+  }
+
+  @ParameterizedTest
+  @ValueSource(doubles = {5, 12, 20})
+  void aDeputyMadeByAnOwnerThatLivesOnPromisesKnowsNoMoreThanIt(double cutAfter) {
+    SimWorld w = withAForgetfulGateway(5, List.of("a", "b"));
+    w.loop.run(cutAfter);
+    w.net.cutZone(w.owner() % 2 == 0 ? "b" : "a", true);
+    w.loop.run(2 * SimWorld.CANCEL_S);
+    fine(w);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"7, 11", "12, 8", "22, 11", "22, 6"})
+  void processesThatKnowNothingAddNoTimeToWhatTheLastOwnerLeft(double until, double away) {
+    SimWorld w = withAForgetfulGateway(3, ONE_ZONE);
+    w.loop.run(until);
+    w.crashAll();
+    w.loop.run(away);
+    w.startAll();
+    w.loop.run(2 * SimWorld.CANCEL_S);
+    fine(w);
+  }
+
+  @Test
+  void anOwnerWhoseReadsGetNoAnswerAsksItsPeersAndCostsNoLease() {
+    SimWorld w = world(316, 3);
+    running(w, 1);
+    w.state.holdWatches = true;
+    w.loop.run(SimWorld.CANCEL_S + 10);
+    assertThat(w.rules.trace()).noneMatch(x -> x.contains("lease over"));
+    fine(w);
+  }
+
+  @Test
+  void anOwnerThatKnowsTooLittleGivesNoAnswerThatRenews() {
+    SimWorld w = world(307, 3);
+    Rules.Known[] jobs = running(w, 1);
+    int owner = w.owner();
+    int gateway = other(w, owner);
+    // The gateway hears nobody; the third promises all that is asked of it.
+    w.isolate(gateway, true);
+    w.net.heal("c" + gateway, "state");
+    refuse(w, owner, true);
+    refuse(w, (owner + 2) % 3, true);
+    w.cancel(gateway, jobs[0]);
+    w.loop.run(0.2);
+    assertThat(jobs[0].cancelAnswered).isNotNaN();
+    w.loop.run(SimWorld.CANCEL_S + 10);
+    assertThat(w.workers.values()).allMatch(x -> x.running().isEmpty());
+    fine(w);
+  }
+}
--- /dev/null
+++ b/src/test/java/graderelay/ClaimTest.java
@@ -0,0 +1,206 @@
+package graderelay;
+
+import static graderelay.WorldAssertions.fine;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import graderelay.core.Scheduler;
+import graderelay.core.SliceKey;
+import graderelay.sim.Rules;
+import graderelay.sim.SimWorld;
+import graderelay.wire.Json;
+import graderelay.wire.StateCodec;
+import org.junit.jupiter.api.Test;
+
+/** Claims, and cancellations that compete with them. */
+class ClaimTest {
+  private static SimWorld world(long seed) {
+    return WorldAssertions.world(seed, 3);
+  }
+
+  private static boolean writesSlice(JsonNode txn) {
+    for (JsonNode c : txn.path("then")) {
+      if (c.path("put").asText().startsWith(StateCodec.SLICES)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static boolean claimed(SimWorld w, Rules.Known j) {
+    return w.state.value(StateCodec.SLICES + j.id + "/0") != null;
+  }
+
+  @Test
+  void anArrayRunsToItsEndAndStaysDoneOnEveryNode() {
+    SimWorld w = world(1);
+    Rules.Known j = w.job("j-000001", 6, 2, 3, true);
+    w.submit(0, j);
+    w.loop.run(40);
+    for (int i = 0; i < 3; i++) {
+      assertThat(w.stage(i, j.id)).isEqualTo("done");
+    }
+    assertThat(w.state.value(StateCodec.jobKey(j.id))).isNull();
+    assertThat(w.state.value(StateCodec.endKey(j.id))).isNotNull();
+    assertThat(w.state.items.keySet()).noneMatch(k -> k.startsWith(StateCodec.SLICES));
+    fine(w);
+  }
+
+  @Test
+  void aCancelBeforeTheClaimKeepsTheTaskFromStarting() {
+    SimWorld w = world(2);
+    Rules.Known j = w.job("j-000002", 2, 2, 0, false);
+    w.submit(0, j);
+    w.loop.run(1);
+    w.cancel(1, j); // No machine is up yet, so nothing is claimed.
+    w.loop.run(30);
+    assertThat(w.rules.starts).isZero();
+    assertThat(w.stage(2, j.id)).isEqualTo("cancelled");
+    fine(w);
+  }
+
+  @Test
+  void aCancelThatCommitsWhileTheClaimIsUnderWayMakesTheClaimFail() {
+    SimWorld w = world(21);
+    w.submit(0, w.job("j-000030", 1, 1, 0, false));
+    w.loop.run(15); // A machine is up.
+    Rules.Known j = w.job("j-000031", 2, 1, 0, false);
+    int[] left = {1};
+    w.state.delay = t -> writesSlice(t) && left[0]-- > 0;
+    w.state.delayS = 0.5;
+    w.submit(0, j);
+    w.loop.run(0.1);
+    w.cancel(1, j);
+    w.loop.run(0.1);
+    assertThat(w.stage(2, j.id)).isEqualTo("cancelled");
+    w.loop.run(3);
+    assertThat(w.state.everWritten).doesNotContain(StateCodec.SLICES + j.id + "/0");
+    assertThat(w.rules.starts).isEqualTo(1);
+    fine(w);
+  }
+
+  @Test
+  void aPastOwnersClaimFailsAlsoWhenNobodyElseTouchedTheRecord() {
+    SimWorld w = world(22);
+    w.submit(0, w.job("j-000032", 1, 1, 0, false));
+    w.loop.run(15);
+    int owner = w.owner();
+    Rules.Known j = w.job("j-000033", 2, 1, 5, true);
+    int[] left = {1};
+    w.state.delay = t -> writesSlice(t) && left[0]-- > 0;
+    w.state.delayS = 20;
+    w.submit((owner + 1) % 3, j);
+    while (left[0] > 0) {
+      w.loop.run(0.01);
+    }
+    w.crash(owner);
+    // The next owner claims nothing, so that only the owner record stands in the way.
+    w.answer((owner + 1) % 3, "POST", "/admin/claims/pause", null);
+    w.loop.run(30);
+    assertThat(w.owner()).isNotNegative().isNotEqualTo(owner);
+    assertThat(w.state.value(StateCodec.SLICES + j.id + "/0")).isNull();
+    fine(w);
+  }
+
+  @Test
+  void aCancelAfterTheClaimIsAStopRequestThatTheOwnerCarriesOut() {
+    SimWorld w = world(3);
+    Rules.Known j = w.job("j-000003", 2, 2, 0, false);
+    w.submit(0, j);
+    w.loop.run(15);
+    assertThat(w.stage(0, j.id)).isEqualTo("running");
+    w.cancel(1, j);
+    w.loop.run(5);
+    assertThat(w.workers.values()).allMatch(x -> x.running().isEmpty());
+    assertThat(w.state.value(StateCodec.endKey(j.id)).path("end").asText()).isEqualTo("cancelled");
+    fine(w);
+  }
+
+  @Test
+  void aClaimWhoseAnswerIsLostIsNeitherForgottenNorMadeTwice() {
+    SimWorld w = world(4);
+    Rules.Known j = w.job("j-000004", 3, 1, 5, true);
+    int[] left = {1};
+    w.state.loseAnswer = t -> writesSlice(t) && left[0]-- > 0;
+    w.submit(0, j);
+    w.loop.run(40);
+    assertThat(left[0]).isLessThan(1);
+    assertThat(w.stage(0, j.id)).isEqualTo("done");
+    assertThat(w.rules.starts).isEqualTo(3);
+    fine(w);
+  }
+
+  @Test
+  void aClaimThatIsAppliedLateIsNotLaunchedBesidesItsRival() {
+    SimWorld w = world(5);
+    Rules.Known j = w.job("j-000005", 3, 1, 5, true);
+    int[] left = {1};
+    w.state.delay = t -> writesSlice(t) && left[0]-- > 0;
+    w.state.delayS = 3;
+    w.submit(0, j);
+    w.loop.run(40);
+    assertThat(w.stage(0, j.id)).isEqualTo("done");
+    fine(w);
+  }
+
+  @Test
+  void aPastOwnersLateWriteFails() {
+    SimWorld w = world(6);
+    Rules.Known j = w.job("j-000006", 4, 1, 30, true);
+    int owner = w.owner();
+    int[] left = {1};
+    w.state.delay = t -> writesSlice(t) && left[0]-- > 0;
+    w.state.delayS = 20;
+    w.submit((owner + 1) % 3, j);
+    while (left[0] > 0) {
+      w.loop.run(0.01);
+    }
+    w.crash(owner);
+    w.loop.run(70);
+    assertThat(w.owner()).isNotEqualTo(owner);
+    assertThat(w.stage(w.owner(), j.id)).isEqualTo("done");
+    fine(w);
+  }
+
+  @Test
+  void aClaimThatTurnsUpLateIsEndedAndNeverLaunched() {
+    Scheduler s = SchedulerFixture.scheduler(1);
+    SchedulerFixture.machine(s, "n-1", 1, 1, 0);
+    s.onJob(SchedulerFixture.array("j-1", 1), false, 5, 0, 0);
+    s.step(0.1);
+    SchedulerFixture.answerWrites(s, Scheduler.Outcome.UNKNOWN, 0.2);
+    s.onSlice(new SliceKey("j-1", 0), SchedulerFixture.claimed("n-1", 1), 6, 0.21);
+    s.onReport(SchedulerFixture.report("n-1", 1, 2, 1), 0.25);
+    assertThat(s.ordersFor(SchedulerFixture.report("n-1", 1, 2, 1), 0.25)).isEmpty();
+    assertThat(SchedulerFixture.launches(s)).isZero();
+    SchedulerFixture.commitAll(s, 7, 0.3);
+    assertThat(SchedulerFixture.writes(s)).isPositive(); // It goes back to the queue.
+  }
+
+  @Test
+  void aTeamsLimitHoldsWhileAMachineIsCutOff() {
+    SimWorld w = world(11);
+    Rules.Known j = w.job("j-000011", 12, 4, 0, false);
+    w.submit(0, w.job("j-000012", 5, 4, 30, true));
+    w.loop.run(16);
+    assertThat(w.answer(0, "POST", "/v1/jobs", Json.write(w.body(j))).path("http").asInt())
+        .isEqualTo(422); // A service must fit the limit as a whole.
+    w.submit(0, w.job("j-000013", 20, 4, 10, true));
+    w.loop.run(10);
+    String machine = w.workers.keySet().iterator().next();
+    w.cutOff(machine);
+    w.loop.run(60);
+    fine(w);
+  }
+
+  @Test
+  void aJobOfMoreSlicesThanATransactionHoldsEnds() {
+    SimWorld w = world(12);
+    Rules.Known j = w.job("j-000014", 7000, 0.01, 1, true);
+    w.submit(0, j);
+    w.loop.run(200);
+    assertThat(w.stage(1, j.id)).isEqualTo("done");
+    assertThat(w.state.items.keySet()).noneMatch(k -> k.startsWith(StateCodec.SLICES));
+    fine(w);
+  }
+}
--- /dev/null
+++ b/src/test/java/graderelay/ControllerRestartTest.java
@@ -0,0 +1,190 @@
+package graderelay;
+
+import static graderelay.WorldAssertions.fine;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import graderelay.core.Action;
+import graderelay.core.Scheduler;
+import graderelay.sim.Rules;
+import graderelay.sim.SimWorld;
+import graderelay.wire.StateCodec;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Controllers that restart, stand alone or have just begun. */
+class ControllerRestartTest {
+  private static SimWorld world(long seed) {
+    return WorldAssertions.world(seed, 5);
+  }
+
+  /** A machine that reports, hears the owner and has shown it. */
+  private static void hearing(Scheduler s, String name, double now) {
+    SchedulerFixture.machine(s, name, 1, 1, now);
+  }
+
+  private static String name(int i) {
+    return String.format("n-%06d", i);
+  }
+
+  @Test
+  void nodesStayReadyInAnOutageForAllButNotWhenTheyAreAlone() {
+    SimWorld w = world(39);
+    w.loop.run(5);
+    w.state.outage(true);
+    w.loop.run(8);
+    for (int i = 0; i < w.size; i++) {
+      assertThat(w.answer(i, "GET", "/ready", null).path("http").asInt()).isEqualTo(200);
+    }
+    w.state.outage(false);
+    w.loop.run(5);
+    w.isolate(1, true);
+    w.refused[2][0] = true; // Some of their peers are served, so users are better off there.
+    w.refused[3][0] = true;
+    w.loop.run(8);
+    assertThat(w.answer(1, "GET", "/ready", null).path("http").asInt()).isEqualTo(503);
+    assertThat(w.answer(2, "GET", "/ready", null).path("http").asInt()).isEqualTo(503);
+    assertThat(w.answer(3, "GET", "/ready", null).path("http").asInt()).isEqualTo(503);
+    assertThat(w.answer(0, "GET", "/ready", null).path("http").asInt()).isEqualTo(200);
+  }
+
+  @Test
+  void workersOfAnOwnerLeftAloneFindTheNextWithoutLosingTheirLease() {
+    SimWorld w = world(33);
+    w.submit(0, w.job("j-000064", 4, 1, 0, false));
+    w.loop.run(20);
+    int starts = w.rules.starts;
+    int owner = w.owner();
+    w.isolate(owner, true);
+    w.loop.run(40);
+    assertThat(w.owner()).isNotNegative().isNotEqualTo(owner);
+    assertThat(w.nodes[owner].owner()).isFalse();
+    w.isolate(owner, false);
+    w.loop.run(20);
+    assertThat(w.rules.starts).isEqualTo(starts);
+    fine(w);
+  }
+
+  @Test
+  void anOwnerBackAtOnceAndAnotherThatBlinksInTheElectionCostNoLease() {
+    SimWorld w = world(34);
+    w.submit(0, w.job("j-000065", 4, 1, 0, false));
+    w.loop.run(20);
+    int starts = w.rules.starts;
+    int owner = w.owner();
+    w.crash(owner);
+    w.loop.run(0.2);
+    w.start(owner);
+    for (int i = 0; i < 4; i++) {
+      int k = (owner + 1 + i) % w.size;
+      w.loop.run(0.15);
+      w.crash(k);
+      w.loop.run(0.1);
+      w.start(k);
+    }
+    w.loop.run(30);
+    assertThat(w.owner()).isNotNegative();
+    assertThat(w.rules.starts).isEqualTo(starts);
+    fine(w);
+  }
+
+  @Test
+  void anOwnerThatStillReadsTheRecordsKeepsLeasesAliveAndOrdersNothing() {
+    // In one zone, since deputies elsewhere use the time that a cancellation leaves.
+    SimWorld w = new SimWorld(37, SimWorld.Shape.of(5).fleet(8, List.of("a")));
+    w.loop.run(4);
+    w.submit(0, w.job("j-000066", 4, 1, 0, false));
+    w.loop.run(20);
+    int starts = w.rules.starts;
+    w.crashAll();
+    w.loop.run(5);
+    // Reading all takes longer than the leases last; who owned the fleet is known at once.
+    w.state.refusedList = StateCodec.JOBS;
+    w.startAll();
+    w.loop.run(9);
+    assertThat(w.owner()).isNotNegative();
+    assertThat(w.nodes[w.owner()].core()).isNull();
+    w.state.refusedList = null;
+    w.loop.run(20);
+    assertThat(w.nodes[w.owner()].core()).isNotNull();
+    assertThat(w.rules.starts).isEqualTo(starts);
+    fine(w);
+  }
+
+  @Test
+  void whenTroublesAreOverEveryJobIsAnsweredOnEveryNodeWithinAMoment() {
+    SimWorld w = world(35);
+    List<Rules.Known> jobs = new ArrayList<>();
+    for (int i = 0; i < 6; i++) {
+      Rules.Known j = w.job("j-00007" + i, 1 + i, 1, i % 2 == 0 ? 0 : 4, false);
+      jobs.add(j);
+      w.submit(i % w.size, j);
+    }
+    w.loop.run(15);
+    // Watches, lists and catch-up reads die on the way, on some nodes for long.
+    w.net.cut("c1", "state");
+    w.refused[2][0] = true;
+    w.net.loseAnswers = 0.4;
+    w.loop.run(20);
+    w.state.outage(true);
+    w.loop.run(10);
+    w.state.outage(false);
+    w.net.loseAnswers = 0;
+    w.refused[2][0] = false;
+    w.net.heal("c1", "state");
+    w.loop.run(5);
+    for (Rules.Known j : jobs) {
+      for (int i = 0; i < w.size; i++) {
+        double asked = w.loop.now();
+        assertThat(w.answer(i, "GET", "/v1/jobs/" + j.id, null).path("http").asInt())
+            .as(j.id + " on m-" + i)
+            .isEqualTo(200);
+        assertThat(w.loop.now() - asked).isLessThan(1);
+      }
+    }
+    fine(w);
+  }
+
+  @Test
+  void theNextOwnerKnowsWhichMachinesHaveAnImage() {
+    Scheduler first = SchedulerFixture.scheduler(1);
+    hearing(first, "n-1", 0);
+    hearing(first, "n-2", 0);
+    first.onJob(SchedulerFixture.array("j-1", 1), false, 5, 0, 0);
+    SchedulerFixture.commitAll(first, 10, 0.1);
+    String warm = SchedulerFixture.claimsOf(first, "n-1") == 1 ? "n-1" : "n-2";
+    SchedulerFixture.work(first, warm, 2, 1, 1);
+    first.tick(20);
+    Action.KeepImages kept =
+        (Action.KeepImages)
+            SchedulerFixture.taken(first).stream()
+                .filter(a -> a instanceof Action.KeepImages)
+                .findFirst()
+                .orElseThrow();
+    Scheduler next = SchedulerFixture.takingOver(2);
+    next.onImages(StateCodec.images(StateCodec.images(kept.machines(), 60)));
+    next.loaded(20);
+    for (int i = 1; i <= 6; i++) {
+      SchedulerFixture.machine(next, "n-" + i, 1, 9, 20);
+    }
+    next.onJob(SchedulerFixture.array("j-2", 3), false, 6, 20, 20);
+    SchedulerFixture.commitAll(next, 11, 20.1);
+    assertThat(SchedulerFixture.claimsOf(next, warm)).isEqualTo(3);
+  }
+
+  @Test
+  void onAFullFleetASlotGoesToAnArrayWhoseImageIsThere() {
+    Scheduler s = SchedulerFixture.takingOver(1);
+    s.onImages(Map.of("n-1", List.of("x"), "n-2", List.of("y")));
+    s.loaded(0);
+    hearing(s, "n-1", 0);
+    hearing(s, "n-2", 0);
+    s.onJob(SchedulerFixture.array("j-1", 8, "y"), false, 5, 0, 0);
+    s.onJob(SchedulerFixture.array("j-2", 8, "x"), false, 6, 0, 0);
+    SchedulerFixture.commitAll(s, 10, 0.1);
+    assertThat(SchedulerFixture.tasksStarted(s, "j-1")).isEqualTo(4);
+    assertThat(SchedulerFixture.tasksStarted(s, "j-2")).isEqualTo(4);
+    assertThat(SchedulerFixture.notes(s)).noneMatch(n -> n.contains("to be fetched"));
+  }
+}
--- /dev/null
+++ b/src/test/java/graderelay/DeafMachinesTest.java
@@ -0,0 +1,150 @@
+package graderelay;
+
+import static graderelay.WorldAssertions.fine;
+import static graderelay.WorldAssertions.runner;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import graderelay.core.Action;
+import graderelay.core.Scheduler;
+import graderelay.sim.Rules;
+import graderelay.sim.SimWorld;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Machines whose reports arrive and that hear nothing. */
+class DeafMachinesTest {
+  private static SimWorld world(long seed) {
+    return WorldAssertions.world(seed, 5);
+  }
+
+  /** A machine that reports, hears the owner and has shown it. */
+  private static void hearing(Scheduler s, String name, double now) {
+    SchedulerFixture.machine(s, name, 1, 1, now);
+  }
+
+  private static String name(int i) {
+    return String.format("n-%06d", i);
+  }
+
+  private static SimWorld world(long seed, SimWorld.Shape shape) {
+    SimWorld w = new SimWorld(seed, shape);
+    w.loop.run(4);
+    assertThat(w.owner()).isNotNegative();
+    return w;
+  }
+
+  @Test
+  void aMachineThatHearsNothingGetsNoNewTasksUntilItHasShownThatItDoes() {
+    Scheduler s = SchedulerFixture.scheduler(1);
+    hearing(s, "n-1", 0);
+    // A worker that took our answer would have stayed with us.
+    s.onReport(SchedulerFixture.report("n-1", 1, 2, 1), "m-1", 5.1);
+    s.answered("n-1", 5.1);
+    s.onJob(SchedulerFixture.array("j-1", 1), false, 5, 5.2, 5.2);
+    SchedulerFixture.commitAll(s, 10, 5.3);
+    assertThat(SchedulerFixture.claimsOf(s, "n-1")).isZero();
+    // It stays there: the answer that went back that way has arrived.
+    s.onReport(SchedulerFixture.report("n-1", 1, 3, 1), "m-1", 7.1);
+    s.answered("n-1", 7.1);
+    SchedulerFixture.commitAll(s, 11, 7.2);
+    assertThat(SchedulerFixture.claimsOf(s, "n-1")).isEqualTo(1);
+  }
+
+  @Test
+  void aMachineWhoseLeaseEndsAlthoughItWasAnsweredHearsNothing() {
+    Scheduler s = SchedulerFixture.scheduler(1);
+    hearing(s, "n-1", 0);
+    SchedulerFixture.machine(s, "n-1", 2, 9, 4);
+    s.onJob(SchedulerFixture.array("j-1", 1), false, 5, 4.1, 4.1);
+    SchedulerFixture.commitAll(s, 10, 4.2);
+    assertThat(SchedulerFixture.claimsOf(s, "n-1")).isZero();
+  }
+
+  @Test
+  void aDeafMachinesServicesStartElsewhereAndItIsGivenBack() {
+    SimWorld w = world(31);
+    Rules.Known j = w.job("j-000060", 1, 3, 0, false);
+    w.submit(0, j);
+    w.submit(1, w.job("j-000061", 4, 3, 300, false));
+    w.loop.run(20);
+    String machine = runner(w, "j-000060/0");
+    w.net.deaf(machine, true);
+    w.loop.run(30);
+    assertThat(w.cloud.names()).doesNotContain(machine);
+    w.loop.run(15);
+    assertThat(runner(w, "j-000060/0")).isNotEqualTo(machine);
+    fine(w);
+  }
+
+  @Test
+  void aReportThatComesAsLateAsItsIntervalAllowsIsNoSignOfDeafness() {
+    Scheduler s = SchedulerFixture.scheduler(1);
+    SchedulerFixture.machine(s, "n-1", 1, 1, 0);
+    SchedulerFixture.machine(s, "n-1", 1, 2, 4.4); // Its worker stays with us: it took our answer.
+    s.onJob(SchedulerFixture.array("j-1", 1), false, 5, 4.5, 4.5);
+    SchedulerFixture.commitAll(s, 10, 4.6);
+    assertThat(SchedulerFixture.claimsOf(s, "n-1")).isEqualTo(1);
+    assertThat(SchedulerFixture.notes(s)).noneMatch(n -> n.contains("does not hear us"));
+  }
+
+  @ParameterizedTest
+  @CsvSource({"2, 12, 3", "2.5, 16, 5", "4, 22, 3", "4, 22, 5", "6, 30, 5"})
+  void atEveryIntervalADeafMachineIsFoundAndNoOtherIsTakenForOne(
+      double reportS, double leaseS, int size) {
+    SimWorld w = world(51, SimWorld.Shape.of(size).workers(reportS, leaseS));
+    w.submit(0, w.job("j-000100", 2, 2, 0, false));
+    w.submit(1, w.job("j-000101", 4, 3, 300, false));
+    w.loop.run(30 + 5 * reportS);
+    assertThat(w.rules.trace()).noneMatch(n -> n.contains("lease over"));
+    int starts = w.rules.starts;
+    w.loop.run(40); // Quiet: nothing is moved, nothing given back.
+    assertThat(w.rules.starts).isEqualTo(starts);
+    String machine = runner(w, "j-000100/0");
+    w.net.deaf(machine, true);
+    // Each controller that it tries in vain takes it five seconds.
+    w.loop.run(leaseS + 15);
+    assertThat(w.cloud.names()).doesNotContain(machine);
+    w.loop.run(15);
+    assertThat(runner(w, "j-000100/0")).isNotEqualTo(machine);
+    fine(w);
+  }
+
+  @Test
+  void aMachineThatDoesNotShowWhatOurAnswerStartedDoesNotHear() {
+    Scheduler s = SchedulerFixture.scheduler(1);
+    SchedulerFixture.machine(s, "n-1", 1, 1, 0);
+    s.onJob(SchedulerFixture.array("j-1", 1), false, 5, 0.1, 0.1);
+    SchedulerFixture.commitAll(s, 10, 0.2);
+    // The direct order never left, so the answer to the next report carries the start.
+    for (Action a : SchedulerFixture.taken(s)) {
+      if (a instanceof Action.Command c) {
+        s.onSent(c, Scheduler.Sent.NEVER_LEFT, null, 0.3);
+      }
+    }
+    SchedulerFixture.machine(s, "n-1", 1, 2, 4);
+    assertThat(s.ordersFor(SchedulerFixture.report("n-1", 1, 2, 1), 4)).hasSize(1);
+    SchedulerFixture.machine(s, "n-1", 1, 3, 8);
+    assertThat(SchedulerFixture.notes(s)).anyMatch(n -> n.contains("does not hear us"));
+  }
+
+  @Test
+  void aMachineThatStillHasTheOldTermAfterOurAnswerDoesNotHear() {
+    Scheduler s = SchedulerFixture.scheduler(7);
+    for (int seq = 1; seq <= 2; seq++) {
+      s.onReport(SchedulerFixture.report("n-1", 1, seq, 6), seq * 4);
+      s.answered("n-1", seq * 4);
+    }
+    assertThat(SchedulerFixture.notes(s)).anyMatch(n -> n.contains("does not hear us"));
+  }
+
+  @Test
+  void aWorkerWhoseReportWasLostOnTheWayIsNotTakenForDeaf() {
+    Scheduler s = SchedulerFixture.scheduler(1);
+    SchedulerFixture.machine(s, "n-1", 1, 1, 0);
+    // Its second report found nobody, so it went on to another controller with the third.
+    s.onReport(SchedulerFixture.report("n-1", 1, 3, 1), "m-2", 9);
+    s.answered("n-1", 9);
+    assertThat(SchedulerFixture.notes(s)).noneMatch(n -> n.contains("does not hear us"));
+  }
+}
--- a/src/test/java/graderelay/PipelinesTest.java
+++ b/src/test/java/graderelay/DependenciesTest.java
@@ -4,32 +4,22 @@
 import static graderelay.WorldAssertions.world;
 import static org.assertj.core.api.Assertions.assertThat;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
-import graderelay.config.Settings;
 import graderelay.core.Action;
 import graderelay.core.JobSpec;
 import graderelay.core.Priority;
 import graderelay.core.Scheduler;
-import graderelay.core.SliceRecord;
-import graderelay.net.Exchange;
 import graderelay.sim.Rules;
 import graderelay.sim.SimWorld;
-import graderelay.wire.BadRequest;
-import graderelay.wire.Json;
 import graderelay.wire.StateCodec;
-import graderelay.wire.UserCodec;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Short stories of jobs that need others, and of a state service that lowers its limits. */
-class PipelinesTest {
+/** Jobs that need others: never too early, waiting, cancelled together. */
+class DependenciesTest {
   private static Rules.Known job(SimWorld w, int n, int tasks, double runS, Rules.Known... needs) {
     Rules.Known j = w.job(String.format("j-0007%02d", n), tasks, 1, runS, true);
     j.needs = List.of(needs);
@@ -64,12 +54,6 @@
     fine(w);
   }
 
-  private static int http(SimWorld w, int node, JsonNode body) {
-    return w.answer(node, "POST", "/v1/jobs", Json.write(body)).path("http").asInt();
-  }
-
-  // ---------------------------------------------------------------- too early never
-
   @Test
   void theStagesOfAChainRunOneAfterTheOther() {
     SimWorld w = world(401, 3);
@@ -168,8 +152,6 @@
     everywhere(w, List.of(first, slow, both), "done");
   }
 
-  // ---------------------------------------------------------------- waiting jobs
-
   @Test
   void aWaitingJobIsNoDemandAndStopsNobody() {
     Scheduler s = SchedulerFixture.scheduler(1);
@@ -223,8 +205,6 @@
     assertThat(SchedulerFixture.notes(s)).anyMatch(n -> n.contains("preempt j-1"));
   }
 
-  // ---------------------------------------------------------------- cancelling
-
   @ParameterizedTest
   @CsvSource({"0, 0", "1, 1", "2, 2", "0, 6", "1, 13"})
   void aCancelledJobTakesAllWithItThatNeedIt(int which, double after) {
@@ -312,195 +292,4 @@
     assertThat(w.state.requests - before).isLessThan(600);
     fine(w);
   }
-
-  // ---------------------------------------------------------------- submissions
-
-  @Test
-  void namesAreCheckedAgainstTheStateServiceOnEveryNode() {
-    SimWorld w = world(409, 3);
-    Rules.Known first = job(w, 0, 1, 2);
-    Rules.Known service = w.job("j-000790", 1, 1, 0, false);
-    accept(w, 0, first);
-    accept(w, 0, service);
-    ObjectNode body = w.body(job(w, 1, 1, 2, first));
-    for (int i = 0; i < 3; i++) {
-      assertThat(http(w, i, named(body, "j-999999"))).isEqualTo(422);
-      assertThat(http(w, i, named(body, first.id, "j-999999"))).isEqualTo(422);
-      assertThat(http(w, i, named(body, service.id))).isEqualTo(422);
-      assertThat(http(w, i, named(body, "j-000701"))).isEqualTo(400); // Itself.
-      assertThat(http(w, i, named(body, "000700"))).isEqualTo(400);
-      assertThat(http(w, i, body.deepCopy().put("awaits", first.id))).isEqualTo(400);
-    }
-    w.loop.run(20);
-    assertThat(http(w, 1, named(body, first.id, first.id, "j-999999"))).isEqualTo(422);
-    assertThat(http(w, 1, named(body, first.id, first.id))).isEqualTo(201); // Long over.
-    assertThat(http(w, 2, named(body, "j-999999"))).isEqualTo(200); // A retry, whatever it names.
-    w.state.outage(true);
-    w.loop.run(5);
-    ObjectNode other = w.body(job(w, 2, 1, 2));
-    assertThat(http(w, 0, named(other, first.id))).isEqualTo(503);
-    w.state.outage(false);
-    w.loop.run(15);
-    assertThat(w.stage(0, "j-000701")).isEqualTo("done");
-    assertThat(w.stage(0, "j-000702")).isEmpty();
-  }
-
-  private static ObjectNode named(ObjectNode body, String... ids) {
-    ObjectNode n = body.deepCopy();
-    n.remove("awaits");
-    Arrays.asList(ids).forEach(id -> n.withArray("awaits").add(id));
-    return n;
-  }
-
-  @Test
-  void manyNamesWorkAndMoreThanARecordHoldsAreRefused() {
-    SimWorld w = new SimWorld(410, SimWorld.Shape.of(3), new Settings.StateLimits(200, 2, 4));
-    w.loop.run(3);
-    List<Rules.Known> over = new ArrayList<>();
-    for (int i = 0; i < 40; i++) {
-      over.add(job(w, i, 1, 1));
-      w.submit(i % 3, over.get(i));
-    }
-    w.loop.run(40);
-    everywhere(w, over, "done");
-    Rules.Known j = job(w, 90, 1, 2, over.toArray(new Rules.Known[0]));
-    accept(w, 0, j); // What is done need not be kept.
-    w.loop.run(20);
-    everywhere(w, List.of(j), "done");
-    ObjectNode body = w.body(job(w, 91, 1, 2));
-    w.answer(0, "POST", "/admin/claims/pause", null);
-    for (int i = 0; i < 180; i++) {
-      Rules.Known k = w.job(String.format("j-%06d", 8000 + i), 1, 1, 2, true);
-      w.submit(i % 3, k);
-      body.withArray("awaits").add(k.id);
-    }
-    w.loop.run(5);
-    assertThat(http(w, 1, body)).isEqualTo(400);
-    fine(w);
-  }
-
-  // ---------------------------------------------------------------- lower limits
-
-  /** A job as the version before accepted it, with slices that fit the limits of its time. */
-  private static void acceptedBefore(SimWorld w, Rules.Known j) {
-    JobSpec spec;
-    try {
-      spec =
-          UserCodec.submission(w.body(j), (long) (w.loop.now() * 1000) + 1_700_000_000_000L, 500);
-    } catch (BadRequest e) {
-      throw new AssertionError(e);
-    }
-    ObjectNode txn = Json.object();
-    txn.putArray("if").addObject().put("key", StateCodec.jobKey(j.id)).put("mark", 0);
-    txn.putArray("then")
-        .addObject()
-        .put("put", StateCodec.jobKey(j.id))
-        .set("data", StateCodec.job(spec, false));
-    w.state.handle(new Exchange("POST", "/multi", "", Json.write(txn), a -> {}));
-    j.accepted = true;
-  }
-
-  @ParameterizedTest
-  @CsvSource({
-    "300, 0.4, 8, false",
-    "500, 0.2, 26, false",
-    "500, 0.2, 26, true",
-    "500, 0.5, 60, true"
-  })
-  void jobsOfBeforeAreFinishedWhenTheStateServiceAllowsLess(
-      int tasks, double cpus, int machines, boolean ownerEnds) {
-    SimWorld w =
-        new SimWorld(
-            411,
-            SimWorld.Shape.of(3).fleet(machines, List.of("a", "b")),
-            new Settings.StateLimits(200, 2, 4));
-    w.cloud.capacity = machines;
-    w.loop.run(3);
-    Rules.Known old = w.job("j-000780", tasks, cpus, 12, true);
-    acceptedBefore(w, old);
-    w.loop.run(16);
-    assertThat(w.rules.starts).isGreaterThan(50);
-    w.state.lower(2, 4);
-    Rules.Known young = w.job("j-000781", 30, 0.5, 6, true);
-    w.submit(1, young);
-    w.loop.run(4);
-    if (ownerEnds) {
-      w.crash(w.owner());
-    }
-    w.loop.run(150);
-    // Each owner has to find it out; slices of 300 fit as they are.
-    assertThat(w.state.tooLarge).isBetween(tasks > 300 ? 1 : 0, 20);
-    assertThat(w.stage(w.owner(), young.id)).isEqualTo("done");
-    assertThat(w.stage(w.owner(), old.id)).isEqualTo("done");
-    fine(w);
-  }
-
-  @Test
-  void aNewVersionsRecordsFitTheLimitsToCome() {
-    SimWorld w =
-        new SimWorld(
-            412,
-            SimWorld.Shape.of(3).fleet(30, List.of("a", "b")),
-            new Settings.StateLimits(200, 2, 4));
-    w.cloud.capacity = 30;
-    w.loop.run(3);
-    Rules.Known j = w.job("j-000780", 300, 0.4, 6, true);
-    w.submit(0, j);
-    w.loop.run(14);
-    w.state.lower(2, 4);
-    w.loop.run(100);
-    assertThat(w.state.tooLarge).isZero();
-    assertThat(w.stage(0, j.id)).isEqualTo("done");
-    fine(w);
-  }
-
-  @Test
-  void aPackedSliceSaysTheSameInFewerBytes() {
-    int n = 500;
-    int[] attempts = new int[n];
-    String[] machines = new String[n];
-    long[] sessions = new long[n];
-    boolean[] done = new boolean[n];
-    for (int i = 0; i < n; i++) {
-      attempts[i] = 1 + i % 70;
-      done[i] = i % 3 == 0;
-      machines[i] = i % 3 == 1 ? "n-" + (100 + i % 20) : null;
-      sessions[i] = i % 3 == 1 ? 2 : 0;
-    }
-    SliceRecord r = new SliceRecord(attempts, machines, sessions, done);
-    byte[] plain = Json.write(StateCodec.slice(r));
-    byte[] packed = Json.write(StateCodec.slice(r.packedCopy()));
-    assertThat(packed.length).isLessThan(2048).isLessThan(plain.length / 2);
-    assertThat(StateCodec.slice(Json.read(packed))).isEqualTo(r);
-    assertThat(StateCodec.slice(Json.read(plain))).isEqualTo(r);
-  }
-
-  // ---------------------------------------------------------------- side by side
-
-  /** Records as the version before dependencies wrote them. */
-  @Test
-  void recordsOfTheVersionBeforeAreReadAsTheyWere() {
-    String job =
-        "{\"class\":\"batch\",\"team\":\"team\",\"kind\":\"ARRAY\",\"priority\":\"NORMAL\","
-            + "\"tasks\":3,\"cpus\":1.0,\"gpus\":0.0,\"mem\":1.0,\"image\":\"i\",\"imageGb\":1.0,"
-            + "\"oneZone\":false,\"spread\":false,\"spot\":true,\"estimate\":4.0,"
-            + "\"checkpoint\":0.0,\"save\":0.0,\"at\":1700000000000,\"cap\":500,\"stop\":true}";
-    JsonNode n = Json.read(job.getBytes(StandardCharsets.UTF_8));
-    JobSpec s = StateCodec.job("j-1", n);
-    assertThat(s.needs()).isEmpty();
-    assertThat(s.sliceCap()).isEqualTo(500);
-    assertThat(Json.write(StateCodec.job(s, true))).isEqualTo(job.getBytes(StandardCharsets.UTF_8));
-    JsonNode slice =
-        Json.read(
-            "{\"a\":[1,2,1],\"m\":[[\"n-000001\",3]],\"p\":[0,-1,-2]}"
-                .getBytes(StandardCharsets.UTF_8));
-    SliceRecord r = StateCodec.slice(slice);
-    assertThat(r.machine(0)).isEqualTo("n-000001");
-    assertThat(r.done(2)).isTrue();
-    assertThat(Json.write(StateCodec.slice(r))).isEqualTo(Json.write(slice));
-    assertThat(
-            graderelay.state.Cache.endOf(
-                Json.read("{\"end\":\"done\",\"tasks\":3}".getBytes(StandardCharsets.UTF_8))))
-        .isEqualTo(new graderelay.state.Cache.End(false, 3, 0));
-  }
 }
--- /dev/null
+++ b/src/test/java/graderelay/LargeJobsTest.java
@@ -0,0 +1,89 @@
+package graderelay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import graderelay.constants.Constants;
+import graderelay.core.Scheduler;
+import graderelay.sim.SimWorld;
+import graderelay.wire.Json;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** The largest jobs, and reports of a wrong form. */
+class LargeJobsTest {
+  private static SimWorld world(long seed) {
+    return WorldAssertions.world(seed, 5);
+  }
+
+  /** A machine that reports, hears the owner and has shown it. */
+  private static void hearing(Scheduler s, String name, double now) {
+    SchedulerFixture.machine(s, name, 1, 1, now);
+  }
+
+  private static byte[] checkin(int seq) {
+    return Json.write(
+        Json.object()
+            .put("saw", "n-999999")
+            .put("address", "n-999999:9000")
+            .put("rig", "small")
+            .put("yard", "a")
+            .put("borrowed", false)
+            .put("shift", 1)
+            .put("tally", seq)
+            .put("foreman", 0));
+  }
+
+  private static String name(int i) {
+    return String.format("n-%06d", i);
+  }
+
+  @Test
+  void aLargeArrayBeginsAlthoughSmallerOnesKeepComing() {
+    Scheduler s = SchedulerFixture.takingOver(1, Map.of("batch", List.of(5.0, 20.0)));
+    s.loaded(0);
+    hearing(s, "n-1", 0);
+    s.onJob(SchedulerFixture.array("j-8", 4), false, 5, 0, 0);
+    SchedulerFixture.commitAll(s, 10, 0.1); // The machine is full before the large one comes.
+    s.onJob(SchedulerFixture.array("j-9", 200), false, 5, 0.2, 0.2);
+    double now = 0.2;
+    int mark = 10;
+    for (int i = 0; i < 60 && SchedulerFixture.tasksStarted(s, "j-9") == 0; i++) {
+      now += 2;
+      s.onJob(SchedulerFixture.array("j-s" + i, 1), false, 5, now, now);
+      // One task ends, so there is room for one more of somebody.
+      SchedulerFixture.work(s, "n-1", 2 + 2 * i, 1, now);
+      SchedulerFixture.commitAll(s, mark += 2, now + 0.6);
+      SchedulerFixture.commitAll(s, mark += 2, now + 0.7);
+    }
+    assertThat(SchedulerFixture.tasksStarted(s, "j-9")).isPositive();
+    assertThat(now).isBetween(Constants.WAITING_WINS_S, 120.0);
+  }
+
+  @Test
+  void aReportOfAWrongFormIsRefusedAndChangesNothing() {
+    SimWorld w = world(41);
+    int owner = w.owner();
+    String good =
+        "\"saw\":\"n-9\",\"address\":\"n-9:1\",\"rig\":\"small\",\"yard\":\"a\",\"foreman\":0";
+    String[] bad = {
+      "[]",
+      "{}",
+      "{" + good + ",\"shift\":1}",
+      "{" + good + ",\"shift\":1,\"tally\":-4}",
+      "{" + good + ",\"shift\":\"x\",\"tally\":1}",
+      "{" + good + ",\"shift\":1,\"tally\":1,\"boards\":{}}",
+      "{" + good + ",\"shift\":1,\"tally\":1,\"boards\":[{\"board\":\"j-1/0\"}]}",
+      "{\"saw\":1," + good.substring(good.indexOf(',') + 1) + ",\"shift\":1,\"tally\":1}"
+    };
+    for (String b : bad) {
+      assertThat(w.answer(owner, "POST", "/checkin", b.getBytes()).path("http").asInt())
+          .as(b)
+          .isEqualTo(400);
+    }
+    assertThat(w.nodes[owner].core().machines(0)).noneMatch(m -> m.name().equals("n-9"));
+    String right = "{" + good + ",\"shift\":1,\"tally\":1,\"boards\":null,\"recall_s\":null}";
+    assertThat(w.answer(owner, "POST", "/checkin", right.getBytes()).path("http").asInt())
+        .isEqualTo(200);
+  }
+}
--- /dev/null
+++ b/src/test/java/graderelay/LateMachinesTest.java
@@ -0,0 +1,99 @@
+package graderelay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import graderelay.core.Action;
+import graderelay.core.Scheduler;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Machines that come up late, never, or at once. */
+class LateMachinesTest {
+  /** Machines rented in one plan, answered with new names; returns them. */
+  private static List<String> hired(Scheduler s, double now) {
+    List<String> names = new ArrayList<>();
+    for (Action a : new ArrayList<>(SchedulerFixture.taken(s))) {
+      if (a instanceof Action.Hire h) {
+        SchedulerFixture.taken(s).remove(a);
+        List<String> some = new ArrayList<>();
+        for (int i = 0; i < h.count(); i++) {
+          some.add("h-" + (int) (now * 10) + "-" + h.id() + "-" + i);
+        }
+        s.onHired(h.id(), some, false, now);
+        names.addAll(some);
+      }
+    }
+    return names;
+  }
+
+  private static List<String> givenBack(Scheduler s) {
+    List<String> names = new ArrayList<>();
+    for (Action a : SchedulerFixture.taken(s)) {
+      if (a instanceof Action.GiveBack g) {
+        names.addAll(g.machines());
+      }
+    }
+    return names;
+  }
+
+  @Test
+  void workThatWaitsForAMachineWhichOthersHaveOvertakenGetsAnother() {
+    Scheduler s = SchedulerFixture.scheduler(1);
+    s.onJob(SchedulerFixture.array("j-1", 24), false, 5, 0.1, 0.1);
+    s.tick(1);
+    List<String> first = hired(s, 1.2);
+    assertThat(first).hasSizeGreaterThanOrEqualTo(6);
+    // All but one are up in the usual five seconds, and one never comes.
+    long seq = 1;
+    int more = 0;
+    for (double now = 6; now < 24; now += 1) {
+      for (String m : first.subList(1, first.size())) {
+        SchedulerFixture.machine(s, m, 1, seq, now);
+      }
+      seq++;
+      s.tick(now);
+      SchedulerFixture.commitAll(s, (long) (100 + now), now + 0.1);
+      more += hired(s, now + 0.2).size();
+    }
+    assertThat(more).isEqualTo(1);
+    assertThat(givenBack(s)).isEmpty(); // It may still come.
+    s.tick(40);
+    assertThat(givenBack(s)).contains(first.get(0));
+  }
+
+  @Test
+  void whenAllBootsAreSlowMachinesAreNotRentedAndGivenUpInTurn() {
+    Scheduler s = SchedulerFixture.scheduler(1);
+    s.onJob(SchedulerFixture.array("j-1", 24), false, 5, 0.1, 0.1);
+    s.tick(1);
+    List<String> first = hired(s, 1.2);
+    int more = 0;
+    for (double now = 2; now < 100; now += 1) {
+      s.tick(now); // Twenty times the nominal five seconds.
+      more += hired(s, now + 0.2).size();
+    }
+    assertThat(givenBack(s)).isEmpty();
+    assertThat(more).isLessThan(first.size());
+    for (String m : first) {
+      SchedulerFixture.machine(s, m, 1, 1, 100);
+    }
+    for (String m : first) {
+      SchedulerFixture.machine(s, m, 1, 2, 101);
+    }
+    SchedulerFixture.commitAll(s, 200, 101.1);
+    assertThat(SchedulerFixture.launches(s)).isEqualTo(24);
+  }
+
+  @Test
+  void aMachineThatIsUpBeforeItsRentalIsAnsweredGetsWork() {
+    Scheduler s = SchedulerFixture.scheduler(1);
+    s.onJob(SchedulerFixture.array("j-1", 4), false, 5, 0.1, 0.1);
+    s.tick(1);
+    SchedulerFixture.machine(s, "n-1", 1, 1, 1.3);
+    SchedulerFixture.commitAll(s, 10, 1.4);
+    assertThat(SchedulerFixture.launches(s)).isEqualTo(4);
+    hired(s, 2); // And what the answer names beside it is known as well.
+    assertThat(SchedulerFixture.claimsOf(s, "n-1")).isEqualTo(4);
+  }
+}
--- /dev/null
+++ b/src/test/java/graderelay/LateMessagesTest.java
@@ -0,0 +1,273 @@
+package graderelay;
+
+import static graderelay.WorldAssertions.fine;
+import static graderelay.WorldAssertions.runner;
+import static graderelay.WorldAssertions.secondsToNextStart;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import graderelay.core.Action;
+import graderelay.core.Scheduler;
+import graderelay.sim.Rules;
+import graderelay.sim.SimWorld;
+import graderelay.wire.Json;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Reports, copies of reports and transactions that arrive late. */
+class LateMessagesTest {
+  private static SimWorld world(long seed) {
+    return WorldAssertions.world(seed, 5);
+  }
+
+  /** A machine that reports, hears the owner and has shown it. */
+  private static void hearing(Scheduler s, String name, double now) {
+    SchedulerFixture.machine(s, name, 1, 1, now);
+  }
+
+  private static String name(int i) {
+    return String.format("n-%06d", i);
+  }
+
+  private static SimWorld world(long seed, int size) {
+    return WorldAssertions.world(seed, size);
+  }
+
+  /** Services that run when the story begins. */
+  private static Rules.Known[] running(SimWorld w, int jobs) {
+    Rules.Known[] all = new Rules.Known[jobs];
+    for (int i = 0; i < jobs; i++) {
+      all[i] = w.job(String.format("j-0003%02d", i), 2, 1, 0, false);
+      w.submit(i % w.size, all[i]);
+    }
+    w.loop.run(15);
+    assertThat(w.rules.starts).isEqualTo(2 * jobs);
+    return all;
+  }
+
+  private static void refuse(SimWorld w, int node, boolean on) {
+    w.refused[node][0] = on;
+  }
+
+  private static int other(SimWorld w, int node) {
+    return (node + 1) % w.size;
+  }
+
+  /** Arrays that come over some seconds, of which every third is cancelled at once. */
+  private static List<Rules.Known> arrays(SimWorld w, int n, double everyS, double runS) {
+    List<Rules.Known> all = new ArrayList<>();
+    for (int i = 0; i < n; i++) {
+      Rules.Known j = w.job(String.format("j-0004%02d", i), 1 + i % 3, 1, runS, true);
+      all.add(j);
+      int node = i % w.size;
+      w.loop.after(i * everyS, () -> w.submit(node, j));
+      if (i % 3 == 2) {
+        w.loop.after(i * everyS + 0.05 + i % 4 * 0.9, () -> w.cancel(other(w, node), j));
+      }
+    }
+    return all;
+  }
+
+  /** Every job has ended, as its user asked, and every node says so. */
+  private static void allOver(SimWorld w, List<Rules.Known> jobs) {
+    for (Rules.Known j : jobs) {
+      for (int i = 0; i < w.size; i++) {
+        String stage = w.stage(i, j.id);
+        assertThat(stage).as(j.id).isIn(j.cancelAsked ? "cancelled" : "done", "done");
+      }
+    }
+    fine(w);
+  }
+
+  @Test
+  void aCopyOfThePastPutsOffNoLease() {
+    Scheduler s = SchedulerFixture.scheduler(1);
+    hearing(s, "n-1", 0);
+    SchedulerFixture.machine(s, "n-1", 1, 2, 2);
+    for (double t = 3; t < 2 + SimWorld.LEASE_S; t += 1) {
+      assertThat(s.onReport(SchedulerFixture.report("n-1", 1, 1, 1), t)).isFalse();
+    }
+    s.tick(2 + SimWorld.LEASE_S + 1);
+    assertThat(SchedulerFixture.notes(s)).anyMatch(n -> n.contains("lease of n-1 is over"));
+  }
+
+  @Test
+  void anAnswerToAReportThatADirectOrderOvertookStillCountsForTheLease() {
+    Scheduler s = SchedulerFixture.scheduler(1);
+    hearing(s, "n-1", 0);
+    // The worker's answer to a direct order, sent after its report, comes first.
+    var poke = new Action.Command("n-1", "n-1:9000", 1, 1, List.of());
+    s.onSent(poke, Scheduler.Sent.EXECUTED, SchedulerFixture.report("n-1", 1, 3, 1), 4);
+    s.onReport(SchedulerFixture.report("n-1", 1, 2, 1), 4.1); // Answered, so the lease goes on.
+    s.tick(SimWorld.LEASE_S + 3);
+    assertThat(SchedulerFixture.notes(s)).noneMatch(n -> n.contains("lease of n-1 is over"));
+    s.tick(4 + SimWorld.LEASE_S + 1);
+    assertThat(SchedulerFixture.notes(s)).anyMatch(n -> n.contains("lease of n-1 is over"));
+  }
+
+  @Test
+  void afterATakeoverACopyFromAMachineThatIsGoneMakesItNoTarget() {
+    Scheduler s = SchedulerFixture.scheduler(7);
+    s.onReport(SchedulerFixture.report("n-1", 1, 40, 6), 0.5); // From the earlier owner's time.
+    s.onJob(SchedulerFixture.array("j-1", 1), false, 5, 1, 1);
+    SchedulerFixture.commitAll(s, 10, 1.1);
+    assertThat(SchedulerFixture.claimsOf(s, "n-1")).isZero();
+    s.onReport(SchedulerFixture.report("n-1", 1, 41, 7), 1.5); // It has heard of the new term.
+    SchedulerFixture.commitAll(s, 11, 1.6);
+    assertThat(SchedulerFixture.claimsOf(s, "n-1")).isEqualTo(1);
+  }
+
+  @Test
+  void copiesOfAllReportsForTwoLeasesBreakNothing() {
+    SimWorld w = world(32);
+    w.net.copies = 1;
+    w.net.copyDelayS = 2 * SimWorld.LEASE_S;
+    Rules.Known service = w.job("j-000062", 3, 1, 0, false);
+    Rules.Known array = w.job("j-000063", 8, 2, 6, true);
+    w.submit(0, service);
+    w.submit(1, array);
+    w.loop.run(25);
+    w.crash(w.owner());
+    w.loop.run(40);
+    assertThat(w.stage(w.owner(), array.id)).isEqualTo("done");
+    assertThat(w.stage(w.owner(), service.id)).isEqualTo("running");
+    fine(w);
+  }
+
+  @Test
+  void aCopyAtAGatewayIsNoSignThatItsWorkerCannotReachTheOwner() {
+    SimWorld w = world(40);
+    int gateway = (w.owner() + 1) % w.size;
+    byte[] report = checkin(5);
+    assertThat(w.answer(gateway, "POST", "/checkin", report).path("http").asInt()).isEqualTo(421);
+    assertThat(w.answer(gateway, "POST", "/checkin", report).path("http").asInt()).isEqualTo(421);
+    // The worker itself is back, so it could not: its report is passed on and answered.
+    assertThat(w.answer(gateway, "POST", "/checkin", checkin(6)).path("http").asInt())
+        .isEqualTo(200);
+  }
+
+  private static byte[] checkin(int seq) {
+    return Json.write(
+        Json.object()
+            .put("saw", "n-999999")
+            .put("address", "n-999999:9000")
+            .put("rig", "small")
+            .put("yard", "a")
+            .put("borrowed", false)
+            .put("shift", 1)
+            .put("tally", seq)
+            .put("foreman", 0));
+  }
+
+  @Test
+  void copiesOfAMachineThatIsCutOffKeepItsTasksFromNobody() {
+    SimWorld w = world(38);
+    w.net.copies = 1;
+    w.net.copyDelayS = 2 * SimWorld.LEASE_S;
+    w.submit(0, w.job("j-000067", 1, 4, 300, false));
+    w.loop.run(30);
+    w.cutOff(runner(w, "j-000067/0"));
+    // A lease, and what it takes to rent a machine and to start again.
+    assertThat(secondsToNextStart(w)).isBetween(SimWorld.LEASE_S, SimWorld.LEASE_S + 10);
+    fine(w);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"crash, 3", "crash, 8", "handover, 2", "crash, 0.3"})
+  void reportsKeptForTheNextOwnerProveAndRenewNothing(String how, double meanwhile) {
+    SimWorld w = world(341, 3);
+    Rules.Known[] jobs = running(w, 2);
+    w.net.keepReports();
+    w.loop.run(5);
+    w.cancel(0, jobs[0]);
+    String gone = runner(w, jobs[1].id + "/0");
+    w.loop.run(3);
+    w.cloud.take(gone);
+    int owner = w.owner();
+    if (how.equals("crash")) {
+      w.crash(owner);
+    } else {
+      refuse(w, owner, true);
+    }
+    double until = w.loop.now() + 20;
+    while ((w.owner() < 0 || w.owner() == owner) && w.loop.now() < until) {
+      w.loop.run(0.01);
+    }
+    w.net.deliverKept("c0:80", "c1:80", "c2:80");
+    w.loop.run(meanwhile);
+    refuse(w, owner, false);
+    w.loop.run(40);
+    assertThat(w.stage(w.owner(), jobs[0].id)).isEqualTo("cancelled");
+    assertThat(runner(w, jobs[1].id + "/0")).isNotEqualTo(gone);
+    fine(w);
+  }
+
+  @Test
+  void aReportThatIsHeldUntilANewOwnerHasActedProvesNothing() {
+    SimWorld w = world(342, 3);
+    Rules.Known[] jobs = running(w, 2);
+    Rules.Known array = w.job("j-000484", 3, 1, 25, false);
+    w.submit(0, array);
+    w.loop.run(8);
+    w.net.alwaysPooled = true;
+    int owner = w.owner();
+    List<String> machines = new ArrayList<>(w.workers.keySet());
+    for (String m : machines) {
+      w.net.cut("c" + other(w, owner), m);
+      w.net.cut("c" + (owner + 2) % 3, m);
+    }
+    w.crash(owner);
+    w.loop.run(9);
+    w.cancel(other(w, owner), jobs[0]);
+    w.loop.run(1);
+    for (String m : machines) {
+      w.net.heal("c" + other(w, owner), m);
+      w.net.heal("c" + (owner + 2) % 3, m);
+    }
+    w.loop.run(80);
+    assertThat(w.stage(other(w, owner), array.id)).isEqualTo("done");
+    fine(w);
+  }
+
+  @Test
+  void copiesFromAnEarlierSessionOrAttemptProveNothing() {
+    SimWorld w = world(343, 3);
+    running(w, 2);
+    Rules.Known array = w.job("j-000485", 3, 2, 20, false);
+    w.net.copies = 0.7;
+    w.net.copyDelayS = 2.5 * SimWorld.LEASE_S;
+    w.submit(0, array);
+    w.loop.run(10);
+    List<String> machines = new ArrayList<>(w.workers.keySet());
+    machines.forEach(w::cutOff);
+    w.loop.run(SimWorld.LEASE_S + 4); // Their sessions end, and so do their attempts.
+    for (String m : machines) {
+      for (int i = 0; i < 3; i++) {
+        w.net.heal("c" + i, m);
+      }
+    }
+    w.loop.run(120);
+    assertThat(w.stage(1, array.id)).isEqualTo("done");
+    fine(w);
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {344, 345, 346, 347, 348, 349})
+  void transactionsCarriedOutLateAfterNewerOnesOfTheSameOwnerBreakNothing(long seed) {
+    SimWorld w = world(seed, 3);
+    w.lookClosely();
+    List<Rules.Known> jobs = arrays(w, 24, 1, 4);
+    w.state.delay =
+        t -> {
+          w.state.delayS = 2 + w.random.nextDouble() * 10;
+          return w.random.nextInt(4) == 0;
+        };
+    w.loop.run(40);
+    w.state.delay = t -> false;
+    w.loop.run(80);
+    allOver(w, jobs);
+  }
+}
--- /dev/null
+++ b/src/test/java/graderelay/LaunchFencingTest.java
@@ -0,0 +1,85 @@
+package graderelay;
+
+import static graderelay.WorldAssertions.fine;
+import static graderelay.WorldAssertions.runner;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import graderelay.sim.Rules;
+import graderelay.sim.SimWorld;
+import graderelay.wire.StateCodec;
+import org.junit.jupiter.api.Test;
+
+/** Direct launches that nobody answered. */
+class LaunchFencingTest {
+  private static SimWorld world(long seed) {
+    return WorldAssertions.world(seed, 3);
+  }
+
+  /** A direct launch is held by a cut between owner and machine; reports go through a peer. */
+  private static void heldLaunch(
+      double meanwhileAfter,
+      double healAfter,
+      java.util.function.BiConsumer<SimWorld, String> do1) {
+    SimWorld w = world(23);
+    Rules.Known warm = w.job("j-000040", 1, 1, 300, false);
+    w.submit(0, warm);
+    w.loop.run(15);
+    String machine = runner(w, "j-000040/0");
+    int owner = w.owner();
+    Rules.Known j = w.job("j-000041", 1, 1, 300, false);
+    w.net.alwaysPooled = true; // The order goes into an open connection and is held there.
+    w.submit((owner + 1) % 3, j);
+    while (!claimed(w, j)) {
+      w.loop.run(0.0005);
+    }
+    w.net.cut("c" + owner, machine);
+    w.loop.run(meanwhileAfter);
+    do1.accept(w, machine);
+    w.loop.run(healAfter - meanwhileAfter);
+    w.workers.get(machine).failsEverything = false;
+    w.net.heal("c" + owner, machine);
+    w.loop.run(40);
+    assertThat(w.owner()).isEqualTo(owner);
+    assertThat(w.stage(0, j.id)).isEqualTo("running");
+    fine(w);
+  }
+
+  private static boolean claimed(SimWorld w, Rules.Known j) {
+    return w.state.value(StateCodec.SLICES + j.id + "/0") != null;
+  }
+
+  @Test
+  void aLaunchThatIsHeldBackIsFencedBeforeItsJobIsOver() {
+    SimWorld w = world(9);
+    Rules.Known warm = w.job("j-000009", 1, 1, 0, false);
+    w.submit(0, warm);
+    w.loop.run(15);
+    String machine = runner(w, "j-000009/0");
+    int owner = w.owner();
+    Rules.Known j = w.job("j-000010", 2, 1, 0, false);
+    w.submit((owner + 1) % 3, j);
+    while (!claimed(w, j)) {
+      w.loop.run(0.001);
+    }
+    w.net.cut("c" + owner, machine);
+    w.loop.run(1);
+    w.cancel((owner + 1) % 3, j);
+    w.loop.run(9);
+    w.net.heal("c" + owner, machine);
+    w.loop.run(60);
+    assertThat(w.stage(0, j.id)).isEqualTo("cancelled");
+    assertThat(w.workers.values()).noneMatch(x -> x.running().contains("j-000010/0"));
+    fine(w);
+  }
+
+  @Test
+  void aTaskWhoseLaunchHasNoAnswerIsNotMovedBeforeThatIsFenced() {
+    heldLaunch(
+        2.5, 16, (w, m) -> w.answer(w.owner(), "POST", "/admin/machines/" + m + "/drain", null));
+  }
+
+  @Test
+  void anAttemptWhoseLaunchMayComeLateIsNotReaped() {
+    heldLaunch(1, 25, (w, m) -> w.workers.get(m).failsEverything = true);
+  }
+}
--- /dev/null
+++ b/src/test/java/graderelay/LeaderChangeTest.java
@@ -0,0 +1,201 @@
+package graderelay;
+
+import static graderelay.WorldAssertions.fine;
+import static graderelay.WorldAssertions.runner;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import graderelay.sim.Rules;
+import graderelay.sim.SimWorld;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Changes of leader, also many and in an outage. */
+class LeaderChangeTest {
+  private static SimWorld world(long seed, int size) {
+    return WorldAssertions.world(seed, size);
+  }
+
+  private static SimWorld oneZone(long seed, int size) {
+    return zoned(seed, size, "a");
+  }
+
+  /** A world whose zones have these letters for names. */
+  private static SimWorld zoned(long seed, int size, String zones) {
+    List<String> names = List.of(zones.split("(?<=.)"));
+    SimWorld w = new SimWorld(seed, SimWorld.Shape.of(size).fleet(8, names));
+    w.loop.run(3);
+    return w;
+  }
+
+  /** Services that run when the story begins. */
+  private static Rules.Known[] running(SimWorld w, int jobs) {
+    Rules.Known[] all = new Rules.Known[jobs];
+    for (int i = 0; i < jobs; i++) {
+      all[i] = w.job(String.format("j-0003%02d", i), 2, 1, 0, false);
+      w.submit(i % w.size, all[i]);
+    }
+    w.loop.run(15);
+    assertThat(w.rules.starts).isEqualTo(2 * jobs);
+    return all;
+  }
+
+  private static void refuse(SimWorld w, int node, boolean on) {
+    w.refused[node][0] = on;
+  }
+
+  private static int other(SimWorld w, int node) {
+    return (node + 1) % w.size;
+  }
+
+  /** Arrays that come over some seconds, of which every third is cancelled at once. */
+  private static List<Rules.Known> arrays(SimWorld w, int n, double everyS, double runS) {
+    List<Rules.Known> all = new ArrayList<>();
+    for (int i = 0; i < n; i++) {
+      Rules.Known j = w.job(String.format("j-0004%02d", i), 1 + i % 3, 1, runS, true);
+      all.add(j);
+      int node = i % w.size;
+      w.loop.after(i * everyS, () -> w.submit(node, j));
+      if (i % 3 == 2) {
+        w.loop.after(i * everyS + 0.05 + i % 4 * 0.9, () -> w.cancel(other(w, node), j));
+      }
+    }
+    return all;
+  }
+
+  /** Every job has ended, as its user asked, and every node says so. */
+  private static void allOver(SimWorld w, List<Rules.Known> jobs) {
+    for (Rules.Known j : jobs) {
+      for (int i = 0; i < w.size; i++) {
+        String stage = w.stage(i, j.id);
+        assertThat(stage).as(j.id).isIn(j.cancelAsked ? "cancelled" : "done", "done");
+      }
+    }
+    fine(w);
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "crash, 0",
+    "crash, 2",
+    "crash, 4",
+    "handover, 0.5",
+    "handover, 1",
+    "handover, 1.5",
+    "isolate, 0.5",
+    "isolate, 4",
+    "isolate, 12",
+    "blink, 0",
+    "blink, 0.2"
+  })
+  void jobsCancelledWhileTheFleetChangesHandsAreGoneInTime(String how, double cancelAfter) {
+    SimWorld w = world(321, 3);
+    w.lookClosely();
+    Rules.Known[] jobs = running(w, 3);
+    int owner = w.owner();
+    switch (how) {
+      case "crash" -> w.crash(owner);
+      case "handover" -> refuse(w, owner, true);
+      case "isolate" -> w.isolate(owner, true);
+      default -> {
+        w.crash(owner);
+        w.loop.after(0.1, () -> w.start(owner));
+      }
+    }
+    w.loop.run(cancelAfter);
+    for (int i = 0; i < 3; i++) {
+      w.cancel((owner + 1 + i) % 3, jobs[i]);
+    }
+    w.loop.run(8);
+    if (how.equals("isolate")) {
+      w.isolate(owner, false);
+    }
+    w.loop.run(SimWorld.CANCEL_S);
+    assertThat(w.workers.values()).allMatch(x -> x.running().isEmpty());
+    fine(w);
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void tenChangesOfOwnerInTwoMinutesAlsoInAnOutageCostNoJob(boolean blinks) {
+    SimWorld w = world(322, 3);
+    List<Rules.Known> jobs = arrays(w, 24, 4, 9);
+    for (int i = 0; i < 10; i++) {
+      w.loop.run(10);
+      if (i % 4 == 2) {
+        w.state.outage(true);
+        w.loop.after(8, () -> w.state.outage(false));
+      }
+      int owner = w.owner();
+      if (owner >= 0) {
+        w.crash(owner);
+        w.loop.after(blinks ? 0.2 : 5, () -> w.start(owner));
+      }
+    }
+    w.loop.run(90);
+    allOver(w, jobs);
+  }
+
+  @Test
+  void theFleetIsHandedOverAndBackAndAllEndAndOneReturnsAtOnce() {
+    SimWorld w = oneZone(323, 3);
+    Rules.Known[] jobs = running(w, 2);
+    for (int i = 0; i < 3; i++) {
+      int owner = w.owner();
+      refuse(w, owner, true);
+      w.loop.run(2.5);
+      assertThat(w.owner()).isNotEqualTo(owner);
+      refuse(w, owner, false);
+      w.loop.run(2);
+    }
+    w.cancel(0, jobs[0]);
+    w.loop.run(0.1);
+    w.crashAll();
+    w.loop.run(0.4);
+    w.start(1);
+    w.loop.run(SimWorld.CANCEL_S);
+    w.start(0);
+    w.start(2);
+    w.loop.run(10);
+    assertThat(w.workers.values()).noneMatch(x -> x.running().contains(jobs[0].id + "/0"));
+    assertThat(w.stage(1, jobs[1].id)).isEqualTo("running");
+    assertThat(w.rules.trace()).noneMatch(x -> x.contains("lease over"));
+    fine(w);
+  }
+
+  @Test
+  void allControllersAreAwayForLongerThanALeaseAndAJobWasCancelledBefore() {
+    SimWorld w = world(324, 3);
+    Rules.Known[] jobs = running(w, 2);
+    w.cancel(0, jobs[0]);
+    w.loop.run(0.05);
+    w.crashAll();
+    w.loop.run(SimWorld.LEASE_S + 5);
+    w.startAll();
+    w.loop.run(30);
+    assertThat(w.stage(2, jobs[0].id)).isEqualTo("cancelled");
+    assertThat(runner(w, jobs[1].id + "/0")).isNotNull(); // It began anew.
+    fine(w);
+  }
+
+  @Test
+  void tasksOfOneJobThatEndFarApartAcrossAChangeOfOwnerEndIt() {
+    SimWorld w = world(325, 3);
+    w.cloud.capacity = 1; // One task after the other.
+    Rules.Known j = w.job("j-000480", 3, 4, 9, false);
+    w.submit(0, j);
+    for (int i = 0; i < 3; i++) {
+      w.loop.run(12);
+      int owner = w.owner();
+      w.crash(owner);
+      w.loop.after(0.5 + i * 3, () -> w.start(owner));
+    }
+    w.loop.run(40);
+    assertThat(w.rules.starts).isEqualTo(3);
+    assertThat(w.stage(0, j.id)).isEqualTo("done");
+    fine(w);
+  }
+}
--- /dev/null
+++ b/src/test/java/graderelay/LowerLimitsTest.java
@@ -0,0 +1,152 @@
+package graderelay;
+
+import static graderelay.WorldAssertions.fine;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import graderelay.config.Settings;
+import graderelay.core.JobSpec;
+import graderelay.core.SliceRecord;
+import graderelay.net.Exchange;
+import graderelay.sim.Rules;
+import graderelay.sim.SimWorld;
+import graderelay.wire.BadRequest;
+import graderelay.wire.Json;
+import graderelay.wire.StateCodec;
+import graderelay.wire.UserCodec;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** A state service that lowers its limits, and records from before. */
+class LowerLimitsTest {
+  private static Rules.Known job(SimWorld w, int n, int tasks, double runS, Rules.Known... needs) {
+    Rules.Known j = w.job(String.format("j-0007%02d", n), tasks, 1, runS, true);
+    j.needs = List.of(needs);
+    return j;
+  }
+
+  /** A job as the version before accepted it, with slices that fit the limits of its time. */
+  private static void acceptedBefore(SimWorld w, Rules.Known j) {
+    JobSpec spec;
+    try {
+      spec =
+          UserCodec.submission(w.body(j), (long) (w.loop.now() * 1000) + 1_700_000_000_000L, 500);
+    } catch (BadRequest e) {
+      throw new AssertionError(e);
+    }
+    ObjectNode txn = Json.object();
+    txn.putArray("if").addObject().put("key", StateCodec.jobKey(j.id)).put("mark", 0);
+    txn.putArray("then")
+        .addObject()
+        .put("put", StateCodec.jobKey(j.id))
+        .set("data", StateCodec.job(spec, false));
+    w.state.handle(new Exchange("POST", "/multi", "", Json.write(txn), a -> {}));
+    j.accepted = true;
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "300, 0.4, 8, false",
+    "500, 0.2, 26, false",
+    "500, 0.2, 26, true",
+    "500, 0.5, 60, true"
+  })
+  void jobsOfBeforeAreFinishedWhenTheStateServiceAllowsLess(
+      int tasks, double cpus, int machines, boolean ownerEnds) {
+    SimWorld w =
+        new SimWorld(
+            411,
+            SimWorld.Shape.of(3).fleet(machines, List.of("a", "b")),
+            new Settings.StateLimits(200, 2, 4));
+    w.cloud.capacity = machines;
+    w.loop.run(3);
+    Rules.Known old = w.job("j-000780", tasks, cpus, 12, true);
+    acceptedBefore(w, old);
+    w.loop.run(16);
+    assertThat(w.rules.starts).isGreaterThan(50);
+    w.state.lower(2, 4);
+    Rules.Known young = w.job("j-000781", 30, 0.5, 6, true);
+    w.submit(1, young);
+    w.loop.run(4);
+    if (ownerEnds) {
+      w.crash(w.owner());
+    }
+    w.loop.run(150);
+    // Each owner has to find it out; slices of 300 fit as they are.
+    assertThat(w.state.tooLarge).isBetween(tasks > 300 ? 1 : 0, 20);
+    assertThat(w.stage(w.owner(), young.id)).isEqualTo("done");
+    assertThat(w.stage(w.owner(), old.id)).isEqualTo("done");
+    fine(w);
+  }
+
+  @Test
+  void aNewVersionsRecordsFitTheLimitsToCome() {
+    SimWorld w =
+        new SimWorld(
+            412,
+            SimWorld.Shape.of(3).fleet(30, List.of("a", "b")),
+            new Settings.StateLimits(200, 2, 4));
+    w.cloud.capacity = 30;
+    w.loop.run(3);
+    Rules.Known j = w.job("j-000780", 300, 0.4, 6, true);
+    w.submit(0, j);
+    w.loop.run(14);
+    w.state.lower(2, 4);
+    w.loop.run(100);
+    assertThat(w.state.tooLarge).isZero();
+    assertThat(w.stage(0, j.id)).isEqualTo("done");
+    fine(w);
+  }
+
+  @Test
+  void aPackedSliceSaysTheSameInFewerBytes() {
+    int n = 500;
+    int[] attempts = new int[n];
+    String[] machines = new String[n];
+    long[] sessions = new long[n];
+    boolean[] done = new boolean[n];
+    for (int i = 0; i < n; i++) {
+      attempts[i] = 1 + i % 70;
+      done[i] = i % 3 == 0;
+      machines[i] = i % 3 == 1 ? "n-" + (100 + i % 20) : null;
+      sessions[i] = i % 3 == 1 ? 2 : 0;
+    }
+    SliceRecord r = new SliceRecord(attempts, machines, sessions, done);
+    byte[] plain = Json.write(StateCodec.slice(r));
+    byte[] packed = Json.write(StateCodec.slice(r.packedCopy()));
+    assertThat(packed.length).isLessThan(2048).isLessThan(plain.length / 2);
+    assertThat(StateCodec.slice(Json.read(packed))).isEqualTo(r);
+    assertThat(StateCodec.slice(Json.read(plain))).isEqualTo(r);
+  }
+
+  /** Records as the version before dependencies wrote them. */
+  @Test
+  void recordsOfTheVersionBeforeAreReadAsTheyWere() {
+    String job =
+        "{\"class\":\"batch\",\"team\":\"team\",\"kind\":\"ARRAY\",\"priority\":\"NORMAL\","
+            + "\"tasks\":3,\"cpus\":1.0,\"gpus\":0.0,\"mem\":1.0,\"image\":\"i\",\"imageGb\":1.0,"
+            + "\"oneZone\":false,\"spread\":false,\"spot\":true,\"estimate\":4.0,"
+            + "\"checkpoint\":0.0,\"save\":0.0,\"at\":1700000000000,\"cap\":500,\"stop\":true}";
+    JsonNode n = Json.read(job.getBytes(StandardCharsets.UTF_8));
+    JobSpec s = StateCodec.job("j-1", n);
+    assertThat(s.needs()).isEmpty();
+    assertThat(s.sliceCap()).isEqualTo(500);
+    assertThat(Json.write(StateCodec.job(s, true))).isEqualTo(job.getBytes(StandardCharsets.UTF_8));
+    JsonNode slice =
+        Json.read(
+            "{\"a\":[1,2,1],\"m\":[[\"n-000001\",3]],\"p\":[0,-1,-2]}"
+                .getBytes(StandardCharsets.UTF_8));
+    SliceRecord r = StateCodec.slice(slice);
+    assertThat(r.machine(0)).isEqualTo("n-000001");
+    assertThat(r.done(2)).isTrue();
+    assertThat(Json.write(StateCodec.slice(r))).isEqualTo(Json.write(slice));
+    assertThat(
+            graderelay.state.Cache.endOf(
+                Json.read("{\"end\":\"done\",\"tasks\":3}".getBytes(StandardCharsets.UTF_8))))
+        .isEqualTo(new graderelay.state.Cache.End(false, 3, 0));
+  }
+}
--- /dev/null
+++ b/src/test/java/graderelay/RentalForDeadlinesTest.java
@@ -0,0 +1,43 @@
+package graderelay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import graderelay.core.Action;
+import graderelay.core.Scheduler;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Which machines are rented for work that may wait. */
+class RentalForDeadlinesTest {
+  @Test
+  void aWantedStartWithinMinutesLeavesWorkWithADeadlinePatient() {
+    // It need not start before a machine boots, so ordinary ones are rented only as it presses.
+    assertThat(ordinary(150, 400)).isEqualTo(1);
+    assertThat(ordinary(10, 400)).isEqualTo(5);
+    assertThat(ordinary(150, 30)).isGreaterThan(2);
+  }
+
+  /** Ordinary machines rented for twenty tasks of 10 s while there are no others to be had. */
+  private static int ordinary(double wait, double deadline) {
+    return ordinary(wait, deadline, 0);
+  }
+
+  private static int ordinary(double wait, double deadline, double submittedAt) {
+    Scheduler s = SchedulerFixture.takingOver(1, Map.of("batch", List.of(wait)));
+    s.loaded(0);
+    s.onJob(SchedulerFixture.due("j-1", 20, deadline), false, 5, submittedAt, 0);
+    int ordinary = 0;
+    for (int i = 1; i < 4; i++) {
+      s.tick(i);
+      for (Action a : s.take()) {
+        if (a instanceof Action.Hire h && h.spot()) {
+          s.onHired(h.id(), null, true, i);
+        } else if (a instanceof Action.Hire h) {
+          ordinary += h.count();
+        }
+      }
+    }
+    return ordinary;
+  }
+}
--- /dev/null
+++ b/src/test/java/graderelay/RequestStormTest.java
@@ -0,0 +1,110 @@
+package graderelay;
+
+import static graderelay.WorldAssertions.fine;
+import static graderelay.WorldAssertions.world;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import graderelay.sim.Rules;
+import graderelay.sim.SimWorld;
+import graderelay.wire.Json;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Many more requests than usual: questions, submissions, swarms of small jobs. */
+class RequestStormTest {
+  private static SimWorld world(long seed, int size) {
+    return WorldAssertions.world(seed, size);
+  }
+
+  private static int other(SimWorld w, int node) {
+    return (node + 1) % w.size;
+  }
+
+  /** Every job has ended, as its user asked, and every node says so. */
+  private static void allOver(SimWorld w, List<Rules.Known> jobs) {
+    for (Rules.Known j : jobs) {
+      for (int i = 0; i < w.size; i++) {
+        String stage = w.stage(i, j.id);
+        assertThat(stage).as(j.id).isIn(j.cancelAsked ? "cancelled" : "done", "done");
+      }
+    }
+    fine(w);
+  }
+
+  @Test
+  void aStormOfQuestionsAboutUnknownAndOldJobsCostsAFewRequestsAndAllAreAnswered() {
+    SimWorld w = world(81, 3);
+    List<Rules.Known> old = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      old.add(w.job(String.format("j-%06d", 810 + i), 1, 1, 1, false));
+      w.submit(i % 3, old.get(i));
+    }
+    w.loop.run(60);
+    int node = (w.owner() + 1) % 3;
+    w.crash(node);
+    w.start(node); // It remembers no final state.
+    w.loop.run(5);
+    int before = w.state.requests;
+    int[] answered = {0, 0};
+    for (int i = 0; i < 400; i++) {
+      String id = i < 20 ? old.get(i).id : String.format("j-%06d", 900000 + i);
+      int wanted = i < 20 ? 200 : 404;
+      w.ask(
+          node, "GET", "/v1/jobs/" + id, null, (r, n) -> answered[r.status() == wanted ? 0 : 1]++);
+    }
+    w.loop.run(2);
+    assertThat(answered).containsExactly(400, 0);
+    assertThat(w.state.requests - before).isLessThan(120);
+    fine(w);
+  }
+
+  @Test
+  void aSwarmOfSubmissionsIsWrittenOnceEach() {
+    SimWorld w = world(82, 3);
+    int owner = w.owner();
+    long before = w.state.revision();
+    // More than the node may write in two seconds: the rest is told at once to come back.
+    int[] status = new int[600];
+    for (int i = 0; i < 600; i++) {
+      Rules.Known j = w.job(String.format("j-%06d", 820000 + i), 1, 1, 1, false);
+      w.ask(
+          (owner + 1) % 3,
+          "POST",
+          "/v1/jobs",
+          Json.write(w.body(j)),
+          (r, n) -> {
+            status[r.status()]++;
+            j.accepted |= r.status() == 201;
+          });
+    }
+    w.loop.run(0.3);
+    assertThat(status[429]).isPositive();
+    w.loop.run(4);
+    assertThat(status[201] + status[429]).isEqualTo(600);
+    assertThat(status[201]).isGreaterThan(100);
+    assertThat(w.state.conflicts).as("submissions written twice").isZero();
+    assertThat(w.state.revision()).isGreaterThan(before);
+  }
+
+  @Test
+  void aSwarmOfSingleTaskJobsWithAQuarterCancelledIsAnsweredAndServed() {
+    SimWorld w = world(351, 3);
+    w.cloud.capacity = 8;
+    List<Rules.Known> jobs = new ArrayList<>();
+    for (int i = 0; i < 480; i++) {
+      Rules.Known j = w.job(String.format("j-%06d", 5000 + i), 1, 1, 4, true);
+      jobs.add(j);
+      int node = i % 3;
+      w.loop.after(i * 0.25, () -> w.submit(node, j));
+      if (i % 4 == 3) {
+        w.loop.after(i * 0.25 + 0.3 + i % 16, () -> w.cancel(other(w, node), j));
+      }
+    }
+    w.loop.run(200);
+    for (Rules.Known j : jobs) {
+      assertThat(j.accepted).isTrue();
+    }
+    allOver(w, jobs);
+  }
+}
--- /dev/null
+++ b/src/test/java/graderelay/SchedulingCostTest.java
@@ -0,0 +1,146 @@
+package graderelay;
+
+import static graderelay.WorldAssertions.fine;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import graderelay.core.Scheduler;
+import graderelay.sim.Rules;
+import graderelay.sim.SimWorld;
+import graderelay.wire.StateCodec;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** What reports, rounds and writes cost, in looks and in changes. */
+class SchedulingCostTest {
+  private static SimWorld world(long seed) {
+    return WorldAssertions.world(seed, 5);
+  }
+
+  /** A machine that reports, hears the owner and has shown it. */
+  private static void hearing(Scheduler s, String name, double now) {
+    SchedulerFixture.machine(s, name, 1, 1, now);
+  }
+
+  private static String name(int i) {
+    return String.format("n-%06d", i);
+  }
+
+  @Test
+  void whatAReportCostsDoesNotGrowWithTheFleet() {
+    Scheduler s = SchedulerFixture.scheduler(1);
+    int machines = 1600;
+    for (int i = 0; i < machines; i++) {
+      hearing(s, name(i), 0);
+    }
+    for (int k = 0; k < 40; k++) {
+      s.onJob(
+          SchedulerFixture.array("j-" + k, 250),
+          false,
+          5,
+          0,
+          0); // Far more than there is room for.
+    }
+    s.step(0.1);
+    s.step(0.2);
+    long before = s.looked();
+    for (int i = 0; i < machines; i++) {
+      s.onReport(SchedulerFixture.report(name(i), 1, 2, 1), 0.3);
+      s.step(0.3 + i * 1e-5);
+    }
+    assertThat(s.looked() - before).isZero();
+  }
+
+  @Test
+  void jobsThatFoundNoRoomAreNotLookedAtAgainWhileNoneWasGivenBack() {
+    Scheduler s = SchedulerFixture.scheduler(1);
+    for (int i = 0; i < 5; i++) {
+      hearing(s, name(i), 0);
+    }
+    for (int k = 0; k < 40; k++) {
+      s.onJob(SchedulerFixture.array("j-" + k, 10), false, 5, 0, 0);
+    }
+    SchedulerFixture.commitAll(s, 10, 0.1);
+    s.step(0.2);
+    long before = s.looked();
+    for (int i = 0; i < 9; i++) {
+      s.onHired(99, List.of(), false, 0.21 + i * 0.011); // Something that starts a round.
+      s.step(0.21 + i * 0.011);
+    }
+    assertThat(s.looked() - before).isZero();
+  }
+
+  @Test
+  void whatARoundCostsGrowsWithTheTasksAndNotWithTheirProductWithTheFleet() {
+    Scheduler s = SchedulerFixture.scheduler(1);
+    int machines = 1600;
+    for (int i = 0; i < machines; i++) {
+      hearing(s, name(i), 0);
+    }
+    s.step(0.1);
+    long before = s.looked();
+    s.onJob(SchedulerFixture.array("j-1", 250), false, 5, 0.2, 0.2);
+    s.step(0.3);
+    // Each machine is looked at a few times for the job, and a few more for each task.
+    assertThat(s.looked() - before).isLessThan(4L * machines + 250 * 8);
+  }
+
+  @Test
+  void settlingALargeArrayTakesOneChangeForManyTasks() {
+    Scheduler s = SchedulerFixture.scheduler(1);
+    int machines = 60;
+    for (int i = 0; i < machines; i++) {
+      hearing(s, name(i), 0);
+    }
+    int tasks = 24; // As many as the team's limit allows at once.
+    s.onJob(SchedulerFixture.array("j-1", tasks), false, 5, 0.1, 0.1);
+    SchedulerFixture.commitAll(s, 10, 0.2);
+    int before = SchedulerFixture.writes(s);
+    for (int i = 0; i < machines; i++) {
+      SchedulerFixture.work(s, name(i), 2, 4, 1);
+    }
+    SchedulerFixture.commitAll(s, 20, 1.7);
+    SchedulerFixture.commitAll(s, 30, 1.9);
+    assertThat(SchedulerFixture.writes(s) - before).isEqualTo(1); // With the job's own end.
+    assertThat(SchedulerFixture.notes(s)).anyMatch(n -> n.contains("j-1 is done"));
+  }
+
+  @Test
+  void endsWaitForTheirShareOfTheChangesSoThatClaimsDoNotQueueBehindThem() {
+    Scheduler s = SchedulerFixture.takingOver(1, Map.of(), 10);
+    s.loaded(0);
+    for (int i = 0; i < 6; i++) {
+      hearing(s, name(i), 0);
+    }
+    for (int k = 0; k < 12; k++) {
+      s.onJob(SchedulerFixture.array("j-" + k, 2), false, 5, 0, 0);
+    }
+    int mark = 10;
+    for (int i = 0; i < 12; i++) {
+      SchedulerFixture.commitAll(s, mark++, 0.1 + i * 0.1);
+    }
+    for (int i = 0; i < 6; i++) {
+      SchedulerFixture.work(s, name(i), 2, 2, 3);
+    }
+    s.step(4);
+    // Twelve tasks have ended, of many jobs; 0.4 s of ten a second are under way.
+    assertThat(SchedulerFixture.changesOut(s)).isBetween(1, 4);
+    for (int i = 0; i < 40; i++) {
+      SchedulerFixture.commitAll(s, mark++, 5 + i * 0.1);
+    }
+    assertThat(s.teamUse().get("team").cpus()).isGreaterThan(0); // The rest has begun.
+  }
+
+  @Test
+  void recordsOfAJobAreGoneWhenItIsDoneAlsoWithFiveControllers() {
+    SimWorld w = world(36);
+    Rules.Known j = w.job("j-000080", 9, 2, 3, true);
+    w.submit(0, j);
+    w.loop.run(60);
+    for (int i = 0; i < w.size; i++) {
+      assertThat(w.stage(i, j.id)).isEqualTo("done");
+    }
+    assertThat(w.state.items.keySet()).noneMatch(k -> k.startsWith(StateCodec.SLICES));
+    fine(w);
+  }
+}
--- /dev/null
+++ b/src/test/java/graderelay/SpreadPlacementTest.java
@@ -0,0 +1,46 @@
+package graderelay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import graderelay.core.Action;
+import graderelay.core.Scheduler;
+import graderelay.sim.SimWorld;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Replicas that have to be spread over zones. */
+class SpreadPlacementTest {
+  /** A service whose replicas run in both zones, by the time that everybody has settled. */
+  private static SimWorld spread(long seed) {
+    SimWorld w = world(seed, SimWorld.Shape.of(5));
+    w.submit(0, w.job("j-000110", 6, 1, 0, false, true));
+    w.loop.run(20);
+    assertThat(w.rules.starts).isEqualTo(6); // A machine was rented in each of them for it.
+    return w;
+  }
+
+  private static SimWorld world(long seed, SimWorld.Shape shape) {
+    SimWorld w = new SimWorld(seed, shape);
+    w.loop.run(4);
+    assertThat(w.owner()).isNotNegative();
+    return w;
+  }
+
+  @Test
+  void replicasThatOneZoneMayNotTakeAreRentedForInAnother() {
+    Scheduler s = SchedulerFixture.scheduler(1);
+    SchedulerFixture.machine(s, "n-1", 1, 1, 0); // In zone a, with room for all of them.
+    s.onJob(SchedulerFixture.spread("j-1", 2), false, 5, 0.1, 0.1);
+    SchedulerFixture.commitAll(s, 10, 0.2);
+    assertThat(SchedulerFixture.claimsOf(s, "n-1")).isEqualTo(1);
+    s.tick(1);
+    List<String> zones = new ArrayList<>();
+    for (Action a : SchedulerFixture.taken(s)) {
+      if (a instanceof Action.Hire h) {
+        zones.add(h.zone());
+      }
+    }
+    assertThat(zones).containsExactly("b");
+  }
+}
--- /dev/null
+++ b/src/test/java/graderelay/StateOutageTest.java
@@ -0,0 +1,90 @@
+package graderelay;
+
+import static graderelay.WorldAssertions.fine;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import graderelay.sim.Rules;
+import graderelay.sim.SimWorld;
+import graderelay.wire.Json;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** An outage of the state service, and restarts in it. */
+class StateOutageTest {
+  private static SimWorld world(long seed) {
+    return WorldAssertions.world(seed, 3);
+  }
+
+  @Test
+  void whatRunsOutlivesARestartOfAllControllersWithinAnOutageForAsLongAsACancellationAllows() {
+    SimWorld w = new SimWorld(25, SimWorld.Shape.of(3).fleet(8, List.of("a")));
+    w.loop.run(3);
+    w.submit(0, w.job("j-000051", 3, 1, 0, false));
+    w.loop.run(15);
+    int starts = w.rules.starts;
+    w.state.outage(true);
+    w.loop.run(3);
+    w.crashAll();
+    w.loop.run(6);
+    w.startAll();
+    // A lease, and what processes that know nothing may give away, but for a report's interval.
+    w.loop.run(SimWorld.LEASE_S + w.settings(0).beginnersS() - 3);
+    w.state.outage(false);
+    w.loop.run(20);
+    assertThat(w.owner()).isNotNegative();
+    assertThat(w.rules.starts).isEqualTo(starts);
+    fine(w);
+  }
+
+  /** The same with a cancellation that the owner had not heard of: nobody remembers it now. */
+  @ParameterizedTest
+  @CsvSource({"a, 3, 6", "a, 0.1, 6", "a, 0.1, 11", "a, 9, 6", "ab, 0.1, 6", "ab, 3, 0.2"})
+  void aCancellationJustBeforeAnOutageIsCarriedOutAlsoIfAllControllersRestartInIt(
+      String zones, double until, double away) {
+    SimWorld w = new SimWorld(25, SimWorld.Shape.of(3).fleet(8, List.of(zones.split("(?<=.)"))));
+    w.loop.run(3);
+    Rules.Known j = w.job("j-000051", 3, 1, 0, false);
+    w.submit(0, j);
+    w.loop.run(15);
+    int other = (w.owner() + 1) % 3;
+    w.refused[w.owner()][0] = true;
+    w.cancel(other, j);
+    w.loop.run(0.05);
+    assertThat(j.cancelAnswered).isNotNaN();
+    w.state.outage(true);
+    w.crash(other); // Nobody has heard of it.
+    w.loop.run(until);
+    w.crash((other + 1) % 3);
+    w.crash((other + 2) % 3);
+    w.loop.run(away);
+    w.startAll();
+    w.loop.run(SimWorld.CANCEL_S + 20);
+    w.state.outage(false);
+    w.loop.run(20);
+    fine(w);
+  }
+
+  @Test
+  void withTheStateServiceAwayUsersAreToldAtOnceAndNothingIsForgotten() {
+    SimWorld w = world(16);
+    Rules.Known j = w.job("j-000018", 2, 1, 4, true);
+    w.submit(0, j);
+    w.loop.run(30);
+    w.state.outage(true);
+    w.loop.run(6);
+    double asked = w.loop.now();
+    Rules.Known k = w.job("j-000019", 1, 1, 2, true);
+    JsonNode a = w.answer(0, "POST", "/v1/jobs", Json.write(w.body(k)));
+    assertThat(a.path("http").asInt()).isEqualTo(503);
+    assertThat(w.loop.now() - asked).isLessThan(0.2);
+    assertThat(w.stage(0, j.id)).isEqualTo("done");
+    w.state.outage(false);
+    w.submit(0, k);
+    w.loop.run(60);
+    assertThat(w.stage(1, k.id)).isEqualTo("done");
+    fine(w);
+  }
+}
--- /dev/null
+++ b/src/test/java/graderelay/SuspendedControllersTest.java
@@ -0,0 +1,102 @@
+package graderelay;
+
+import static graderelay.WorldAssertions.fine;
+import static graderelay.WorldAssertions.world;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import graderelay.constants.Constants;
+import graderelay.sim.SimWorld;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Controllers that are away for long and may not stand for election. */
+class SuspendedControllersTest {
+  /** A service runs, and a controller that is not the owner has been down for a while. */
+  private static SimWorld withOneDown(long seed, int size) {
+    SimWorld w = world(seed, size);
+    w.submit(w.owner(), w.job("j-000070", 3, 1, 0, false));
+    w.loop.run(20);
+    w.crash((w.owner() + 1) % size);
+    w.loop.run(10);
+    assertThat(w.rules.starts).isEqualTo(3);
+    return w;
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {3, 5})
+  void anOutageWhileAControllerIsAwayCostsNoLease(int size) {
+    SimWorld w = withOneDown(71, size);
+    int owner = w.owner();
+    w.state.outage(true);
+    w.loop.run(SimWorld.LEASE_S + 10);
+    w.state.outage(false);
+    w.loop.run(20);
+    assertThat(w.rules.starts).isEqualTo(3);
+    assertThat(w.rules.trace()).noneMatch(x -> x.contains("lease over"));
+    w.start((owner + 1) % size);
+    w.loop.run(10);
+    fine(w);
+  }
+
+  @Test
+  void aControllerThatIsBackTakesOverAsSoonAsItsBarIsLifted() {
+    SimWorld w = withOneDown(72, 3);
+    int owner = w.owner();
+    int back = (owner + 1) % 3;
+    w.start(back);
+    w.loop.run(6);
+    w.crash(owner);
+    w.crash((owner + 2) % 3);
+    w.loop.run(8);
+    assertThat(w.owner()).isEqualTo(back);
+    w.loop.run(20);
+    assertThat(w.rules.starts).isEqualTo(3);
+    fine(w);
+  }
+
+  @Test
+  void aBarredControllerThatIsLeftAloneTakesOverOnlyWhenNobodyCanCountOnItsBar() {
+    SimWorld w = withOneDown(73, 3);
+    int owner = w.owner();
+    int back = (owner + 1) % 3;
+    w.crash(owner);
+    w.crash((owner + 2) % 3);
+    w.start(back);
+    w.loop.run(Constants.BAR_S - 2);
+    assertThat(w.owner()).isNegative();
+    // Another process of it has nothing to count from, and begins anew.
+    w.crash(back);
+    w.start(back);
+    w.loop.run(Constants.BAR_S - 2);
+    assertThat(w.owner()).isNegative();
+    w.loop.run(10);
+    assertThat(w.owner()).isEqualTo(back);
+    w.loop.run(20);
+    fine(w);
+  }
+
+  @Test
+  void anOwnerThatLosesTheStateServiceStopsBeforeABarredControllerCanTakeOver() {
+    SimWorld w = withOneDown(74, 3);
+    int owner = w.owner();
+    int other = (owner + 2) % 3;
+    int back = (owner + 1) % 3;
+    // The owner and the third are refused alone; the barred one comes back and is served.
+    w.refused[owner][0] = true;
+    w.refused[other][0] = true;
+    w.net.cut("c" + owner, "c" + back);
+    w.net.cut("c" + other, "c" + back);
+    w.start(back);
+    for (int i = 0; i < 600; i++) {
+      w.loop.run(0.1);
+      int speaking = 0;
+      for (int n = 0; n < 3; n++) {
+        speaking += w.nodes[n].speaks() ? 1 : 0;
+      }
+      assertThat(speaking).isLessThanOrEqualTo(1);
+    }
+    assertThat(w.owner()).isEqualTo(back);
+    fine(w);
+  }
+}
--- /dev/null
+++ b/src/test/java/graderelay/TakeoverTest.java
@@ -0,0 +1,122 @@
+package graderelay;
+
+import static graderelay.WorldAssertions.fine;
+import static graderelay.WorldAssertions.runner;
+import static graderelay.WorldAssertions.secondsToNextStart;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import graderelay.core.Scheduler;
+import graderelay.core.SliceKey;
+import graderelay.sim.Rules;
+import graderelay.sim.SimWorld;
+import graderelay.wire.StateCodec;
+import org.junit.jupiter.api.Test;
+
+/** What a new leader adopts, and when it starts a task anew. */
+class TakeoverTest {
+  private static SimWorld world(long seed) {
+    return WorldAssertions.world(seed, 3);
+  }
+
+  private static boolean claimed(SimWorld w, Rules.Known j) {
+    return w.state.value(StateCodec.SLICES + j.id + "/0") != null;
+  }
+
+  @Test
+  void aTakeoverAdoptsWhatRunsAndStartsNothingTwice() {
+    SimWorld w = world(7);
+    Rules.Known j = w.job("j-000007", 4, 1, 0, false);
+    w.submit(0, j);
+    w.loop.run(15);
+    int starts = w.rules.starts;
+    w.crash(w.owner());
+    w.loop.run(30);
+    assertThat(w.rules.starts).isEqualTo(starts);
+    fine(w);
+  }
+
+  @Test
+  void aMissingTaskIsRequeuedOnlyAfterItsWorkersLease() {
+    SimWorld w = world(8);
+    Rules.Known j = w.job("j-000008", 1, 4, 300, false);
+    w.submit(0, j);
+    w.loop.run(15);
+    String machine = runner(w, "j-000008/0");
+    int owner = w.owner();
+    w.crash(owner);
+    w.loop.after(3, () -> w.start(owner));
+    w.cutOff(machine);
+    assertThat(secondsToNextStart(w)).isBetween(SimWorld.LEASE_S, 40.0);
+    fine(w);
+  }
+
+  @Test
+  void aSilentMachineWithServicesIsGivenBackAndItsReplicasStartElsewhereBeforeItsLease() {
+    SimWorld w = world(8);
+    Rules.Known j = w.job("j-000020", 1, 3, 0, false);
+    w.submit(0, w.job("j-000021", 4, 3, 300, false));
+    w.submit(0, j);
+    w.loop.run(20);
+    String machine = runner(w, "j-000020/0");
+    w.cutOff(machine);
+    w.loop.run(SimWorld.LEASE_S - 2);
+    assertThat(w.cloud.names()).doesNotContain(machine); // Deleted, which proves the task gone.
+    w.loop.run(15);
+    assertThat(w.stage(0, j.id)).isEqualTo("running");
+    assertThat(runner(w, "j-000020/0")).isNotEqualTo(machine);
+    fine(w);
+  }
+
+  @Test
+  void aSessionThatOnlyDirectOrdersHaveShownHasItsWholeLease() {
+    // A worker that reaches no controller but is reached by the owner: the owner sees a new
+    // session in its answers and launches there, and must wait for that session's own lease.
+    Scheduler s = SchedulerFixture.scheduler(1);
+    SchedulerFixture.machine(s, "n-1", 1, 1, 0.0);
+    s.onJob(SchedulerFixture.array("j-1", 1), false, 5, 0, 0);
+    SchedulerFixture.commitAll(s, 10, 0.1);
+    SchedulerFixture.answerDirect(s, SchedulerFixture.report("n-1", 2, 9, 1), 11);
+    SchedulerFixture.commitAll(s, 11, 11.1); // The first attempt ends with its session.
+    SchedulerFixture.commitAll(s, 12, 11.2); // The second is claimed on the new one.
+    assertThat(SchedulerFixture.claimsOf(s, "n-1")).isEqualTo(1);
+    s.tick(14); // A lease counted from the last answer would be over.
+    assertThat(SchedulerFixture.notes(s)).noneMatch(n -> n.contains("lease of n-1 is over"));
+    s.tick(11 + SimWorld.LEASE_S + 1);
+    assertThat(SchedulerFixture.notes(s)).anyMatch(n -> n.contains("lease of n-1 is over"));
+  }
+
+  @Test
+  void anOwnerThatOnlyItsWorkersReachFallsSilentBeforeAnotherMayFollow() {
+    SimWorld w = world(24);
+    Rules.Known j = w.job("j-000050", 3, 1, 0, false);
+    w.submit(0, j);
+    w.loop.run(15);
+    int owner = w.owner();
+    w.net.cut("c" + owner, "state");
+    w.net.cut("c" + owner, "c" + (owner + 1) % 3);
+    w.net.cut("c" + owner, "c" + (owner + 2) % 3);
+    w.loop.run(4);
+    assertThat(w.nodes[owner].owner()).isFalse();
+    w.loop.run(36);
+    w.net.heal("c" + owner, "state");
+    w.loop.run(10);
+    assertThat(w.owner()).isNotNegative();
+    fine(w);
+  }
+
+  @Test
+  void aReportUnderAnOlderTermProvesNothingAboutAnEarlierOwnersClaim() {
+    Scheduler s = SchedulerFixture.takingOver(2);
+    s.onJob(SchedulerFixture.array("j-1", 1), false, 3, 0, 0);
+    s.onSlice(new SliceKey("j-1", 0), SchedulerFixture.claimed("n-1", 1), 4, 0);
+    s.loaded(0);
+    s.onReport(
+        SchedulerFixture.report("n-1", 1, 5, 1), 1); // The earlier owner's launch may be under way.
+    SchedulerFixture.commitAll(s, 10, 1.1);
+    assertThat(SchedulerFixture.claimsOf(s, "n-1")).isEqualTo(1);
+    assertThat(SchedulerFixture.writes(s)).isZero();
+    s.onReport(SchedulerFixture.report("n-1", 1, 6, 2), 2); // Now that launch would be refused.
+    SchedulerFixture.commitAll(s, 11, 2.1);
+    assertThat(SchedulerFixture.writes(s)).isPositive();
+  }
+}
--- /dev/null
+++ b/src/test/java/graderelay/UnreachableMachinesTest.java
@@ -0,0 +1,257 @@
+package graderelay;
+
+import static graderelay.WorldAssertions.fine;
+import static graderelay.WorldAssertions.runner;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import graderelay.sim.Rules;
+import graderelay.sim.SimWorker;
+import graderelay.sim.SimWorld;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Machines that hang, are cut off, or come at once while the leader changes. */
+class UnreachableMachinesTest {
+  private static SimWorld world(long seed, int size) {
+    return WorldAssertions.world(seed, size);
+  }
+
+  /** Services that run when the story begins. */
+  private static Rules.Known[] running(SimWorld w, int jobs) {
+    Rules.Known[] all = new Rules.Known[jobs];
+    for (int i = 0; i < jobs; i++) {
+      all[i] = w.job(String.format("j-0003%02d", i), 2, 1, 0, false);
+      w.submit(i % w.size, all[i]);
+    }
+    w.loop.run(15);
+    assertThat(w.rules.starts).isEqualTo(2 * jobs);
+    return all;
+  }
+
+  private static int other(SimWorld w, int node) {
+    return (node + 1) % w.size;
+  }
+
+  /** Arrays that come over some seconds, of which every third is cancelled at once. */
+  private static List<Rules.Known> arrays(SimWorld w, int n, double everyS, double runS) {
+    List<Rules.Known> all = new ArrayList<>();
+    for (int i = 0; i < n; i++) {
+      Rules.Known j = w.job(String.format("j-0004%02d", i), 1 + i % 3, 1, runS, true);
+      all.add(j);
+      int node = i % w.size;
+      w.loop.after(i * everyS, () -> w.submit(node, j));
+      if (i % 3 == 2) {
+        w.loop.after(i * everyS + 0.05 + i % 4 * 0.9, () -> w.cancel(other(w, node), j));
+      }
+    }
+    return all;
+  }
+
+  /** Every job has ended, as its user asked, and every node says so. */
+  private static void allOver(SimWorld w, List<Rules.Known> jobs) {
+    for (Rules.Known j : jobs) {
+      for (int i = 0; i < w.size; i++) {
+        String stage = w.stage(i, j.id);
+        assertThat(stage).as(j.id).isIn(j.cancelAsked ? "cancelled" : "done", "done");
+      }
+    }
+    fine(w);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"2, cancel", "6, cancel", "11, cancel", "20, cancel", "6, owner", "20, owner"})
+  void aMachineThatHangsAndGoesOnKeepsNoCancelledTask(double hangS, String and) {
+    SimWorld w = world(331, 3);
+    Rules.Known[] jobs = running(w, 2);
+    int owner = w.owner();
+    w.workers.values().forEach(x -> x.hang(hangS));
+    w.cancel(other(w, owner), jobs[0]);
+    w.loop.run(0.5);
+    if (and.equals("owner")) {
+      w.crash(owner);
+    }
+    w.loop.run(hangS + 15);
+    assertThat(w.workers.values()).noneMatch(x -> x.running().contains(jobs[0].id + "/0"));
+    w.loop.run(SimWorld.CANCEL_S);
+    fine(w);
+  }
+
+  @Test
+  void anOrderThatIsHeldUpForSecondsStartsNothingOfACancelledJob() {
+    SimWorld w = world(332, 3);
+    running(w, 1);
+    w.net.alwaysPooled = true;
+    String machine = w.workers.keySet().iterator().next();
+    int owner = w.owner();
+    w.net.cut("c" + owner, machine);
+    Rules.Known j = w.job("j-000481", 3, 1, 30, true);
+    w.submit(other(w, owner), j);
+    w.loop.run(1.5);
+    w.cancel(other(w, owner), j);
+    w.loop.run(6);
+    w.net.heal("c" + owner, machine);
+    w.loop.run(SimWorld.CANCEL_S);
+    assertThat(w.workers.values()).noneMatch(x -> x.running().contains(j.id + "/0"));
+    fine(w);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"cut, 6", "cut, 30", "hang, 6", "hang, 30", "deaf, 30", "mute, 30"})
+  void aTeamAtItsLimitStaysWithinItWhileMachinesCannotBeAskedAndTheOwnerChanges(
+      String how, double length) {
+    SimWorld w = new SimWorld(333, SimWorld.Shape.of(3).fleet(20, List.of("a", "b")));
+    w.cloud.capacity = 20;
+    w.loop.run(3);
+    List<Rules.Known> jobs = new ArrayList<>();
+    for (int i = 0; i < 6; i++) {
+      Rules.Known j = w.job(String.format("j-0004%02d", i), 4, 3, 300, false);
+      jobs.add(j);
+      w.submit(i % 3, j);
+    }
+    w.loop.run(25);
+    assertThat(w.rules.starts).isEqualTo(20); // 60 of 60 CPUs; four tasks wait for the limit.
+    List<SimWorker> some = new ArrayList<>(w.workers.values()).subList(0, 5);
+    for (SimWorker x : some) {
+      switch (how) {
+        case "cut" -> w.cutOff(x.name);
+        case "hang" -> x.hang(length);
+        case "deaf" -> w.net.deaf(x.name, true);
+        default -> w.net.mute(x.name, true);
+      }
+    }
+    int owner = w.owner();
+    w.cancel(other(w, owner), jobs.get(0));
+    w.cancel(other(w, owner), jobs.get(1));
+    w.loop.run(0.3);
+    w.crash(owner);
+    w.cancel(other(w, owner), jobs.get(2));
+    w.loop.run(length);
+    for (SimWorker x : some) {
+      w.net.deaf(x.name, false);
+      w.net.mute(x.name, false);
+      for (int i = 0; i < 3; i++) {
+        w.net.heal("c" + i, x.name);
+      }
+    }
+    w.start(owner);
+    w.loop.run(SimWorld.CANCEL_S + 20);
+    for (int i = 3; i < 6; i++) {
+      assertThat(w.stage(0, jobs.get(i).id)).isEqualTo("running");
+    }
+    fine(w);
+  }
+
+  @Test
+  void workersThatCanOpenNoConnectionLoseTheirLeaseAndTheirTasksRunOnce() {
+    SimWorld w = world(334, 3);
+    Rules.Known[] jobs = running(w, 3);
+    w.workers.keySet().forEach(m -> w.net.mute(m, true));
+    w.cancel(0, jobs[0]);
+    w.loop.run(SimWorld.LEASE_S + 12);
+    w.workers.keySet().forEach(m -> w.net.mute(m, false));
+    w.loop.run(40);
+    assertThat(w.stage(1, jobs[0].id)).isEqualTo("cancelled");
+    assertThat(w.stage(1, jobs[1].id)).isEqualTo("running");
+    fine(w);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"cut, 8", "cut, 25", "deaf, 8", "deaf, 25"})
+  void theOwnerEndsWhileMachinesWithLongTasksDoNotHearTheNext(String how, double length) {
+    SimWorld w = world(335, 3);
+    Rules.Known[] jobs = running(w, 2);
+    Rules.Known longOne = w.job("j-000482", 3, 1, 70, false);
+    w.submit(0, longOne);
+    w.loop.run(10);
+    List<String> names = new ArrayList<>(w.workers.keySet());
+    for (String m : names) {
+      if (how.equals("cut")) {
+        w.cutOff(m);
+      } else {
+        w.net.deaf(m, true);
+      }
+    }
+    w.crash(w.owner());
+    w.cancel(w.isUp(0) ? 0 : 1, jobs[0]);
+    w.loop.run(length);
+    for (String m : names) {
+      w.net.deaf(m, false);
+      for (int i = 0; i < 3; i++) {
+        w.net.heal("c" + i, m);
+      }
+    }
+    w.loop.run(140);
+    assertThat(w.stage(w.owner(), longOne.id)).isEqualTo("done");
+    fine(w);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"0.2, 1", "0.2, 4", "3, 1"})
+  void newMachinesGetWorkAtOnceWhileWritesLagAndTheOwnerEnds(double writeS, double endsAfter) {
+    SimWorld w = world(336, 3);
+    w.cloud.bootFactor = 0.15;
+    w.state.delayS = writeS;
+    w.state.delay = t -> t.toString().contains("g/slice/");
+    List<Rules.Known> jobs = arrays(w, 8, 0.1, 6);
+    w.loop.run(1 + endsAfter);
+    int owner = w.owner();
+    w.crash(owner);
+    w.loop.run(3);
+    w.start(owner);
+    w.loop.run(60);
+    w.state.delay = t -> false;
+    w.loop.run(40);
+    allOver(w, jobs);
+  }
+
+  @Test
+  void jobsBoundToOneZoneRunAgainAfterItsMachinesWereLost() {
+    SimWorld w = world(337, 3);
+    List<Rules.Known> jobs = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      Rules.Known j = w.job(String.format("j-0004%02d", i), 2, 1, i % 2 == 0 ? 0 : 120, false);
+      j.zone = i < 2 ? "a" : "b";
+      jobs.add(j);
+      w.submit(i % 3, j);
+    }
+    w.loop.run(20);
+    assertThat(w.rules.starts).isEqualTo(8);
+    for (SimWorker x : new ArrayList<>(w.workers.values())) {
+      if (x.zone.equals("a")) {
+        w.cloud.take(x.name);
+      }
+    }
+    w.loop.run(60);
+    for (int i = 0; i < 2; i++) {
+      assertThat(runner(w, jobs.get(i).id + "/1")).isNotNull();
+    }
+    fine(w);
+  }
+
+  @Test
+  void withMoreWorkThanRoomOverSlowLinksTheUrgentGoesFirstAndAllIsServed() {
+    SimWorld w = world(338, 3);
+    w.net.slow = 50; // An eighth of a second each way, a quarter at most.
+    w.cloud.capacity = 3;
+    List<Rules.Known> jobs = new ArrayList<>();
+    for (int i = 0; i < 10; i++) {
+      Rules.Known j = w.job(String.format("j-0004%02d", i), 4, 1, 8, true);
+      j.guest = i % 2 == 0; // Of the lowest priority.
+      jobs.add(j);
+      w.submit(i % 3, j);
+    }
+    w.loop.run(30);
+    Rules.Known service = w.job("j-000483", 2, 2, 0, true);
+    w.submit(0, service);
+    w.loop.run(25);
+    assertThat(service.firstStart).isNotNaN();
+    w.loop.run(120);
+    for (Rules.Known j : jobs) {
+      assertThat(w.stage(1, j.id)).isEqualTo("done");
+    }
+    fine(w);
+  }
+}
--- /dev/null
+++ b/src/test/java/graderelay/UserAnswersTest.java
@@ -0,0 +1,224 @@
+package graderelay;
+
+import static graderelay.WorldAssertions.fine;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import graderelay.sim.Rules;
+import graderelay.sim.SimWorld;
+import graderelay.wire.Json;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What users are told, at every controller, however soon they ask. */
+class UserAnswersTest {
+  private static SimWorld world(long seed) {
+    return WorldAssertions.world(seed, 3);
+  }
+
+  private static SimWorld world(long seed, int size) {
+    return WorldAssertions.world(seed, size);
+  }
+
+  /** Services that run when the story begins. */
+  private static Rules.Known[] running(SimWorld w, int jobs) {
+    Rules.Known[] all = new Rules.Known[jobs];
+    for (int i = 0; i < jobs; i++) {
+      all[i] = w.job(String.format("j-0003%02d", i), 2, 1, 0, false);
+      w.submit(i % w.size, all[i]);
+    }
+    w.loop.run(15);
+    assertThat(w.rules.starts).isEqualTo(2 * jobs);
+    return all;
+  }
+
+  private static void refuse(SimWorld w, int node, boolean on) {
+    w.refused[node][0] = on;
+  }
+
+  private static int other(SimWorld w, int node) {
+    return (node + 1) % w.size;
+  }
+
+  @Test
+  void aPollAfterAnotherNodeSaidDoneIsNeverOlder() {
+    SimWorld w = world(13);
+    Rules.Known j = w.job("j-000015", 2, 1, 2, true);
+    w.submit(0, j);
+    int node = 0;
+    for (int i = 0; i < 300; i++) {
+      w.poll(node = (node + 1) % 3, j);
+      w.loop.run(0.1);
+    }
+    assertThat(j.lastStage).isEqualTo("done");
+    fine(w);
+  }
+
+  @Test
+  void aRetryOfAnAcceptedJobWhoseTypeVanishedIsStillKnown() {
+    SimWorld w = world(14);
+    Rules.Known j = w.job("j-000016", 1, 1, 2, true);
+    w.submit(0, j);
+    w.loop.run(30);
+    byte[] tooBig = Json.write(w.body(j).put("cpus", 512.0));
+    assertThat(w.answer(1, "POST", "/v1/jobs", tooBig).path("http").asInt()).isEqualTo(200);
+    byte[] other = Json.write(w.body(w.job("j-000017", 1, 1, 2, true)).put("cpus", 512.0));
+    assertThat(w.answer(1, "POST", "/v1/jobs", other).path("http").asInt()).isEqualTo(422);
+    fine(w);
+  }
+
+  @Test
+  void unknownJobsPathsAndMethodsAreToldApart() {
+    SimWorld w = world(15);
+    assertThat(w.answer(0, "GET", "/v1/jobs/j-999999", null).path("http").asInt()).isEqualTo(404);
+    assertThat(w.answer(0, "GET", "/v1/nothing", null).path("http").asInt()).isEqualTo(404);
+    assertThat(w.answer(0, "DELETE", "/v1/jobs", null).path("http").asInt()).isEqualTo(405);
+    assertThat(w.answer(0, "POST", "/v1/jobs", "[]".getBytes()).path("http").asInt())
+        .isEqualTo(400);
+  }
+
+  /** Arrays that come over some seconds, of which every third is cancelled at once. */
+  private static List<Rules.Known> arrays(SimWorld w, int n, double everyS, double runS) {
+    List<Rules.Known> all = new ArrayList<>();
+    for (int i = 0; i < n; i++) {
+      Rules.Known j = w.job(String.format("j-0004%02d", i), 1 + i % 3, 1, runS, true);
+      all.add(j);
+      int node = i % w.size;
+      w.loop.after(i * everyS, () -> w.submit(node, j));
+      if (i % 3 == 2) {
+        w.loop.after(i * everyS + 0.05 + i % 4 * 0.9, () -> w.cancel(other(w, node), j));
+      }
+    }
+    return all;
+  }
+
+  /** Every job has ended, as its user asked, and every node says so. */
+  private static void allOver(SimWorld w, List<Rules.Known> jobs) {
+    for (Rules.Known j : jobs) {
+      for (int i = 0; i < w.size; i++) {
+        String stage = w.stage(i, j.id);
+        assertThat(stage).as(j.id).isIn(j.cancelAsked ? "cancelled" : "done", "done");
+      }
+    }
+    fine(w);
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {"nothing", "refused", "lostAnswers", "slowState", "ownerEnds", "handover", "late"})
+  void noNodeAnswersAnythingOlderHoweverSoonItIsAsked(String trouble) {
+    SimWorld w = world(311, 3);
+    w.lookClosely();
+    List<Rules.Known> jobs = arrays(w, 24, 0.7, 2);
+    w.loop.run(6);
+    int owner = w.owner();
+    switch (trouble) {
+      case "refused" -> refuse(w, other(w, owner), true);
+      case "lostAnswers" -> w.state.loseAnswer = t -> w.random.nextInt(3) == 0;
+      case "slowState" -> w.state.slowS = 0.7;
+      case "ownerEnds" -> {
+        w.crash(owner);
+        w.loop.after(0.3, () -> w.start(owner));
+      }
+      case "handover" -> refuse(w, owner, true);
+      case "late" -> {
+        w.state.delayS = 4;
+        w.state.delay = t -> w.random.nextInt(4) == 0;
+      }
+      default -> {}
+    }
+    w.loop.run(12);
+    for (int i = 0; i < 3; i++) {
+      refuse(w, i, false);
+    }
+    w.state.loseAnswer = t -> false;
+    w.state.delay = t -> false;
+    w.state.slowS = 0;
+    w.loop.run(60);
+    allOver(w, jobs);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"0, false", "0.002, false", "0.01, false", "0.5, false", "0, true"})
+  void aCancellationThatMeetsTheEndOfTheLastTaskIsAnsweredAlikeByAll(
+      double after, boolean ownerEnds) {
+    SimWorld w = world(312, 3);
+    w.lookClosely();
+    List<Rules.Known> jobs = new ArrayList<>();
+    for (int i = 0; i < 12; i++) {
+      Rules.Known j = w.job(String.format("j-0004%02d", i), 1 + i % 2, 1, 2 + i % 5, true);
+      jobs.add(j);
+      w.submit(i % 3, j);
+    }
+    w.rules.onComplete =
+        j ->
+            w.loop.after(
+                after,
+                () -> {
+                  w.cancel(w.random.nextInt(3), j);
+                  w.resubmit(w.random.nextInt(3), j);
+                  w.poll(w.random.nextInt(3), j);
+                  if (ownerEnds && w.owner() >= 0) {
+                    int owner = w.owner();
+                    w.crash(owner);
+                    w.loop.after(0.2, () -> w.start(owner));
+                  }
+                });
+    w.loop.run(90);
+    allOver(w, jobs);
+  }
+
+  @Test
+  void aTransactionWhoseAnswerIsLostCountsForItsSenderAsForAllWhoReadIt() {
+    SimWorld w = world(313, 3);
+    w.lookClosely();
+    w.state.loseAnswer = t -> w.random.nextInt(2) == 0;
+    List<Rules.Known> jobs = arrays(w, 20, 1, 3);
+    w.loop.run(40);
+    w.state.loseAnswer = t -> false;
+    w.loop.run(60);
+    allOver(w, jobs);
+  }
+
+  @Test
+  void whatCannotRunOrLacksAFieldIsRefusedByEveryNodeInEveryState() {
+    SimWorld w = world(314, 3);
+    running(w, 1);
+    byte[] tooBig = Json.write(w.body(w.job("j-000491", 1, 1, 2, true)).put("cpus", 512.0));
+    ObjectNode lacks = w.body(w.job("j-000492", 1, 1, 2, true));
+    lacks.remove("mem_gb");
+    Runnable[] states = {
+      () -> {},
+      () -> refuse(w, w.owner(), true),
+      () -> w.state.outage(true),
+      () -> {
+        w.crashAll();
+        w.startAll();
+      },
+      () -> w.cloud.noTypes = true
+    };
+    for (Runnable state : states) {
+      state.run();
+      for (int k = 0; k < 4; k++) {
+        w.loop.run(0.3);
+        for (int i = 0; i < 3; i++) {
+          assertThat(w.answer(i, "POST", "/v1/jobs", tooBig).path("http").asInt()).isIn(422, 503);
+          assertThat(w.answer(i, "POST", "/v1/jobs", Json.write(lacks)).path("http").asInt())
+              .isIn(400, 503);
+        }
+      }
+    }
+    w.state.outage(false);
+    w.cloud.noTypes = false;
+    for (int i = 0; i < 3; i++) {
+      refuse(w, i, false);
+    }
+    w.loop.run(20);
+    assertThat(w.answer(1, "GET", "/v1/jobs/j-000491", null).path("http").asInt()).isEqualTo(404);
+    fine(w);
+  }
+}
--- /dev/null
+++ b/src/test/java/graderelay/ZonePartitionTest.java
@@ -0,0 +1,142 @@
+package graderelay;
+
+import static graderelay.WorldAssertions.fine;
+import static graderelay.WorldAssertions.runner;
+import static graderelay.WorldAssertions.secondsToNextStart;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import graderelay.core.Action;
+import graderelay.core.Scheduler;
+import graderelay.sim.SimWorld;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** A zone that is cut off, and its lease delegates. */
+class ZonePartitionTest {
+  private static SimWorld world(long seed, SimWorld.Shape shape) {
+    SimWorld w = new SimWorld(seed, shape);
+    w.loop.run(4);
+    assertThat(w.owner()).isNotNegative();
+    return w;
+  }
+
+  private static String name(int i) {
+    return String.format("n-%06d", i);
+  }
+
+  /** Ordinary machines rented for twenty tasks of 10 s while there are no others to be had. */
+  private static int ordinary(double wait, double deadline) {
+    return ordinary(wait, deadline, 0);
+  }
+
+  private static int ordinary(double wait, double deadline, double submittedAt) {
+    Scheduler s = SchedulerFixture.takingOver(1, Map.of("batch", List.of(wait)));
+    s.loaded(0);
+    s.onJob(SchedulerFixture.due("j-1", 20, deadline), false, 5, submittedAt, 0);
+    int ordinary = 0;
+    for (int i = 1; i < 4; i++) {
+      s.tick(i);
+      for (Action a : s.take()) {
+        if (a instanceof Action.Hire h && h.spot()) {
+          s.onHired(h.id(), null, true, i);
+        } else if (a instanceof Action.Hire h) {
+          ordinary += h.count();
+        }
+      }
+    }
+    return ordinary;
+  }
+
+  /** A service whose replicas run in both zones, by the time that everybody has settled. */
+  private static SimWorld spread(long seed) {
+    SimWorld w = world(seed, SimWorld.Shape.of(5));
+    w.submit(0, w.job("j-000110", 6, 1, 0, false, true));
+    w.loop.run(20);
+    assertThat(w.rules.starts).isEqualTo(6); // A machine was rented in each of them for it.
+    return w;
+  }
+
+  @ParameterizedTest
+  @CsvSource({"true", "false"})
+  void whatRunsInAZoneThatIsCutOffGoesOnForLongerThanALease(boolean ownersZone) {
+    SimWorld w = spread(62);
+    int owner = w.owner();
+    String zone = (owner % 2 == 0) == ownersZone ? "a" : "b";
+    w.net.cutZone(zone, true);
+    w.loop.run(2 * SimWorld.LEASE_S + 2);
+    assertThat(w.owner() == owner).isEqualTo(!ownersZone);
+    w.net.cutZone(zone, false);
+    w.loop.run(20);
+    assertThat(w.rules.starts).as(w.rules.trace().toString()).isEqualTo(6); // Nothing was lost.
+    assertThat(w.stage(0, "j-000110")).isEqualTo("running");
+    fine(w);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"2, 12, true", "2, 12, false", "4, 22, true", "4, 22, false", "6, 30, true"})
+  void aJobCancelledWhileItsZoneIsCutOffIsGoneInTime(
+      double reportS, double leaseS, boolean ownersZone) {
+    SimWorld w = world(62, SimWorld.Shape.of(5).workers(reportS, leaseS));
+    w.submit(0, w.job("j-000110", 6, 1, 0, false, true));
+    w.loop.run(30);
+    assertThat(w.rules.starts).isEqualTo(6);
+    boolean inA = (w.owner() % 2 == 0) == ownersZone;
+    w.net.cutZone(inA ? "a" : "b", true);
+    w.loop.run(0.1); // The zone's deputies can know nothing of it.
+    w.cancel(inA ? 1 : 0, w.rules.jobs.get("j-000110"));
+    w.loop.run(SimWorld.CANCEL_S + 20); // The rules are judged all along.
+    w.net.cutZone(inA ? "a" : "b", false);
+    w.loop.run(20);
+    assertThat(w.stage(0, "j-000110")).isEqualTo("cancelled");
+    fine(w);
+  }
+
+  @Test
+  void whatDiesWithItsWholeZoneStartsElsewhereOnceItsDeputiesGrantIsOver() {
+    SimWorld w = world(63, SimWorld.Shape.of(5));
+    w.submit(0, w.job("j-000111", 1, 4, 300, false));
+    w.loop.run(20);
+    String zone = w.workers.get(runner(w, "j-000111/0")).zone;
+    for (int i = 0; i < w.size; i++) {
+      if (w.settings(i).zone().equals(zone)) {
+        w.crash(i);
+      }
+    }
+    w.workers.values().stream()
+        .filter(x -> x.zone.equals(zone))
+        .map(x -> x.name)
+        .toList()
+        .forEach(w::cutOff);
+    // The owner can't know whether they are dead or keep the task alive.
+    double longest = w.settings(0).grantS() + SimWorld.LEASE_S;
+    assertThat(secondsToNextStart(w)).isBetween(longest - 3, longest + 15);
+    fine(w);
+  }
+
+  @Test
+  void aDeputyThatOnlyTheOwnerCannotReachPutsOffNoLease() {
+    SimWorld w = world(64, SimWorld.Shape.of(5));
+    w.submit(0, w.job("j-000112", 1, 4, 300, false));
+    w.loop.run(20);
+    int starts = w.rules.starts;
+    for (int i = 0; i < w.size; i++) {
+      if (i != w.owner()) {
+        w.net.cut("c" + i, "c" + w.owner());
+      }
+    }
+    w.loop.run(5);
+    assertThat(w.rules.starts).isEqualTo(starts);
+    w.cutOff(runner(w, "j-000112/0"));
+    assertThat(secondsToNextStart(w)).isBetween(SimWorld.LEASE_S - 2, SimWorld.LEASE_S + 10);
+    fine(w);
+  }
+
+  @Test
+  void overdueWorkOfAClassWithAWantedStartStillRentsMachines() {
+    // All that was wanted of it is over, and it still has to run.
+    assertThat(ordinary(150, 400, -500)).isEqualTo(2);
+  }
+}
