--- a/src/main/java/graderelay/constants/Constants.java
+++ b/src/main/java/graderelay/constants/Constants.java
@@ -342,7 +342,7 @@
   /** Run times and seconds left before it is needed when a job goes by the priority of others. */
   public static final double PRESSING_RUNS = 2;
 
-  public static final double PRESSING_S = 20;
+  public static final double PRESSING_S = 45;
 
   /** Share of its class's wanted wait after which a needed job goes by the priority of others. */
   public static final double PRESSING_WAIT = 0.4;
