--- a/src/test/java/graderelay/CancellationInOutageTest.java
+++ b/src/test/java/graderelay/CancellationInOutageTest.java
@@ -1,5 +1,8 @@
 package graderelay;
 
+import static graderelay.ScenarioSteps.other;
+import static graderelay.ScenarioSteps.refuse;
+import static graderelay.ScenarioSteps.running;
 import static graderelay.WorldAssertions.fine;
 import static graderelay.WorldAssertions.runner;
 import static org.assertj.core.api.Assertions.assertThat;
@@ -34,26 +37,6 @@
     return w;
   }
 
-  /** Services that run when the story begins. */
-  private static Rules.Known[] running(SimWorld w, int jobs) {
-    Rules.Known[] all = new Rules.Known[jobs];
-    for (int i = 0; i < jobs; i++) {
-      all[i] = w.job(String.format("j-0003%02d", i), 2, 1, 0, false);
-      w.submit(i % w.size, all[i]);
-    }
-    w.loop.run(15);
-    assertThat(w.rules.starts).isEqualTo(2 * jobs);
-    return all;
-  }
-
-  private static void refuse(SimWorld w, int node, boolean on) {
-    w.refused[node][0] = on;
-  }
-
-  private static int other(SimWorld w, int node) {
-    return (node + 1) % w.size;
-  }
-
   @ParameterizedTest
   @CsvSource({
     "3, ab, 0.3, 0.4, 13", "3, ab, 0.3, 0.4, 90", "3, a, 0.3, 0.4, 60", "5, ab, 0.3, 0.4, 60",
--- a/src/test/java/graderelay/ClaimTest.java
+++ b/src/test/java/graderelay/ClaimTest.java
@@ -27,10 +27,6 @@
     return false;
   }
 
-  private static boolean claimed(SimWorld w, Rules.Known j) {
-    return w.state.value(StateCodec.SLICES + j.id + "/0") != null;
-  }
-
   @Test
   void anArrayRunsToItsEndAndStaysDoneOnEveryNode() {
     SimWorld w = world(1);
--- a/src/test/java/graderelay/ControllerRestartTest.java
+++ b/src/test/java/graderelay/ControllerRestartTest.java
@@ -1,5 +1,6 @@
 package graderelay;
 
+import static graderelay.ScenarioSteps.hearing;
 import static graderelay.WorldAssertions.fine;
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -19,15 +20,6 @@
     return WorldAssertions.world(seed, 5);
   }
 
-  /** A machine that reports, hears the owner and has shown it. */
-  private static void hearing(Scheduler s, String name, double now) {
-    SchedulerFixture.machine(s, name, 1, 1, now);
-  }
-
-  private static String name(int i) {
-    return String.format("n-%06d", i);
-  }
-
   @Test
   void nodesStayReadyInAnOutageForAllButNotWhenTheyAreAlone() {
     SimWorld w = world(39);
--- a/src/test/java/graderelay/DeafMachinesTest.java
+++ b/src/test/java/graderelay/DeafMachinesTest.java
@@ -1,5 +1,6 @@
 package graderelay;
 
+import static graderelay.ScenarioSteps.hearing;
 import static graderelay.WorldAssertions.fine;
 import static graderelay.WorldAssertions.runner;
 import static org.assertj.core.api.Assertions.assertThat;
@@ -18,15 +19,6 @@
     return WorldAssertions.world(seed, 5);
   }
 
-  /** A machine that reports, hears the owner and has shown it. */
-  private static void hearing(Scheduler s, String name, double now) {
-    SchedulerFixture.machine(s, name, 1, 1, now);
-  }
-
-  private static String name(int i) {
-    return String.format("n-%06d", i);
-  }
-
   private static SimWorld world(long seed, SimWorld.Shape shape) {
     SimWorld w = new SimWorld(seed, shape);
     w.loop.run(4);
--- a/src/test/java/graderelay/DependencySubmissionTest.java
+++ b/src/test/java/graderelay/DependencySubmissionTest.java
@@ -1,5 +1,7 @@
 package graderelay;
 
+import static graderelay.ScenarioSteps.accept;
+import static graderelay.ScenarioSteps.everywhere;
 import static graderelay.WorldAssertions.fine;
 import static graderelay.WorldAssertions.world;
 import static org.assertj.core.api.Assertions.assertThat;
@@ -23,23 +25,6 @@
     return j;
   }
 
-  private static void accept(SimWorld w, int node, Rules.Known j) {
-    w.submit(node, j);
-    for (int i = 0; i < 600 && !j.accepted; i++) {
-      w.loop.run(0.1);
-    }
-    assertThat(j.accepted).isTrue();
-  }
-
-  private static void everywhere(SimWorld w, List<Rules.Known> jobs, String stage) {
-    for (Rules.Known j : jobs) {
-      for (int i = 0; i < w.size; i++) {
-        assertThat(w.stage(i, j.id)).as(j.id).isEqualTo(stage);
-      }
-    }
-    fine(w);
-  }
-
   private static int http(SimWorld w, int node, JsonNode body) {
     return w.answer(node, "POST", "/v1/jobs", Json.write(body)).path("http").asInt();
   }
--- a/src/test/java/graderelay/LargeJobsTest.java
+++ b/src/test/java/graderelay/LargeJobsTest.java
@@ -1,11 +1,11 @@
 package graderelay;
 
+import static graderelay.ScenarioSteps.hearing;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import graderelay.constants.Constants;
 import graderelay.core.Scheduler;
 import graderelay.sim.SimWorld;
-import graderelay.wire.Json;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -16,28 +16,6 @@
     return WorldAssertions.world(seed, 5);
   }
 
-  /** A machine that reports, hears the owner and has shown it. */
-  private static void hearing(Scheduler s, String name, double now) {
-    SchedulerFixture.machine(s, name, 1, 1, now);
-  }
-
-  private static byte[] checkin(int seq) {
-    return Json.write(
-        Json.object()
-            .put("saw", "n-999999")
-            .put("address", "n-999999:9000")
-            .put("rig", "small")
-            .put("yard", "a")
-            .put("borrowed", false)
-            .put("shift", 1)
-            .put("tally", seq)
-            .put("foreman", 0));
-  }
-
-  private static String name(int i) {
-    return String.format("n-%06d", i);
-  }
-
   @Test
   void aLargeArrayBeginsAlthoughSmallerOnesKeepComing() {
     Scheduler s = SchedulerFixture.takingOver(1, Map.of("batch", List.of(5.0, 20.0)));
--- a/src/test/java/graderelay/LaunchFencingTest.java
+++ b/src/test/java/graderelay/LaunchFencingTest.java
@@ -1,12 +1,12 @@
 package graderelay;
 
+import static graderelay.ScenarioSteps.claimed;
 import static graderelay.WorldAssertions.fine;
 import static graderelay.WorldAssertions.runner;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import graderelay.sim.Rules;
 import graderelay.sim.SimWorld;
-import graderelay.wire.StateCodec;
 import org.junit.jupiter.api.Test;
 
 /** Direct launches that nobody answered. */
@@ -44,10 +44,6 @@
     fine(w);
   }
 
-  private static boolean claimed(SimWorld w, Rules.Known j) {
-    return w.state.value(StateCodec.SLICES + j.id + "/0") != null;
-  }
-
   @Test
   void aLaunchThatIsHeldBackIsFencedBeforeItsJobIsOver() {
     SimWorld w = world(9);
--- a/src/test/java/graderelay/LeaderChangeTest.java
+++ b/src/test/java/graderelay/LeaderChangeTest.java
@@ -1,12 +1,15 @@
 package graderelay;
 
+import static graderelay.ScenarioSteps.allOver;
+import static graderelay.ScenarioSteps.arrays;
+import static graderelay.ScenarioSteps.refuse;
+import static graderelay.ScenarioSteps.running;
 import static graderelay.WorldAssertions.fine;
 import static graderelay.WorldAssertions.runner;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import graderelay.sim.Rules;
 import graderelay.sim.SimWorld;
-import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -31,52 +34,6 @@
     return w;
   }
 
-  /** Services that run when the story begins. */
-  private static Rules.Known[] running(SimWorld w, int jobs) {
-    Rules.Known[] all = new Rules.Known[jobs];
-    for (int i = 0; i < jobs; i++) {
-      all[i] = w.job(String.format("j-0003%02d", i), 2, 1, 0, false);
-      w.submit(i % w.size, all[i]);
-    }
-    w.loop.run(15);
-    assertThat(w.rules.starts).isEqualTo(2 * jobs);
-    return all;
-  }
-
-  private static void refuse(SimWorld w, int node, boolean on) {
-    w.refused[node][0] = on;
-  }
-
-  private static int other(SimWorld w, int node) {
-    return (node + 1) % w.size;
-  }
-
-  /** Arrays that come over some seconds, of which every third is cancelled at once. */
-  private static List<Rules.Known> arrays(SimWorld w, int n, double everyS, double runS) {
-    List<Rules.Known> all = new ArrayList<>();
-    for (int i = 0; i < n; i++) {
-      Rules.Known j = w.job(String.format("j-0004%02d", i), 1 + i % 3, 1, runS, true);
-      all.add(j);
-      int node = i % w.size;
-      w.loop.after(i * everyS, () -> w.submit(node, j));
-      if (i % 3 == 2) {
-        w.loop.after(i * everyS + 0.05 + i % 4 * 0.9, () -> w.cancel(other(w, node), j));
-      }
-    }
-    return all;
-  }
-
-  /** Every job has ended, as its user asked, and every node says so. */
-  private static void allOver(SimWorld w, List<Rules.Known> jobs) {
-    for (Rules.Known j : jobs) {
-      for (int i = 0; i < w.size; i++) {
-        String stage = w.stage(i, j.id);
-        assertThat(stage).as(j.id).isIn(j.cancelAsked ? "cancelled" : "done", "done");
-      }
-    }
-    fine(w);
-  }
-
   @ParameterizedTest
   @CsvSource({
     "crash, 0",
--- a/src/test/java/graderelay/ManyMachineFailuresTest.java
+++ b/src/test/java/graderelay/ManyMachineFailuresTest.java
@@ -1,5 +1,6 @@
 package graderelay;
 
+import static graderelay.ScenarioSteps.name;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import graderelay.core.Action;
@@ -68,8 +69,4 @@
     }
     assertThat(ended).hasSize(4).contains("j-s6", "j-s7", "j-s8");
   }
-
-  private static String name(int i) {
-    return String.format("n-%06d", i);
-  }
 }
--- a/src/test/java/graderelay/RequestStormTest.java
+++ b/src/test/java/graderelay/RequestStormTest.java
@@ -1,5 +1,7 @@
 package graderelay;
 
+import static graderelay.ScenarioSteps.allOver;
+import static graderelay.ScenarioSteps.other;
 import static graderelay.WorldAssertions.fine;
 import static graderelay.WorldAssertions.world;
 import static org.assertj.core.api.Assertions.assertThat;
@@ -17,21 +19,6 @@
     return WorldAssertions.world(seed, size);
   }
 
-  private static int other(SimWorld w, int node) {
-    return (node + 1) % w.size;
-  }
-
-  /** Every job has ended, as its user asked, and every node says so. */
-  private static void allOver(SimWorld w, List<Rules.Known> jobs) {
-    for (Rules.Known j : jobs) {
-      for (int i = 0; i < w.size; i++) {
-        String stage = w.stage(i, j.id);
-        assertThat(stage).as(j.id).isIn(j.cancelAsked ? "cancelled" : "done", "done");
-      }
-    }
-    fine(w);
-  }
-
   @Test
   void aStormOfQuestionsAboutUnknownAndOldJobsCostsAFewRequestsAndAllAreAnswered() {
     SimWorld w = world(81, 3);
--- a/src/test/java/graderelay/SchedulingCostTest.java
+++ b/src/test/java/graderelay/SchedulingCostTest.java
@@ -1,5 +1,7 @@
 package graderelay;
 
+import static graderelay.ScenarioSteps.hearing;
+import static graderelay.ScenarioSteps.name;
 import static graderelay.WorldAssertions.fine;
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -17,15 +19,6 @@
     return WorldAssertions.world(seed, 5);
   }
 
-  /** A machine that reports, hears the owner and has shown it. */
-  private static void hearing(Scheduler s, String name, double now) {
-    SchedulerFixture.machine(s, name, 1, 1, now);
-  }
-
-  private static String name(int i) {
-    return String.format("n-%06d", i);
-  }
-
   @Test
   void whatAReportCostsDoesNotGrowWithTheFleet() {
     Scheduler s = SchedulerFixture.scheduler(1);
--- a/src/test/java/graderelay/TakeoverTest.java
+++ b/src/test/java/graderelay/TakeoverTest.java
@@ -9,7 +9,6 @@
 import graderelay.core.SliceKey;
 import graderelay.sim.Rules;
 import graderelay.sim.SimWorld;
-import graderelay.wire.StateCodec;
 import org.junit.jupiter.api.Test;
 
 /** What a new leader adopts, and when it starts a task anew. */
@@ -18,10 +17,6 @@
     return WorldAssertions.world(seed, 3);
   }
 
-  private static boolean claimed(SimWorld w, Rules.Known j) {
-    return w.state.value(StateCodec.SLICES + j.id + "/0") != null;
-  }
-
   @Test
   void aTakeoverAdoptsWhatRunsAndStartsNothingTwice() {
     SimWorld w = world(7);
--- a/src/test/java/graderelay/ZonePartitionTest.java
+++ b/src/test/java/graderelay/ZonePartitionTest.java
@@ -23,10 +23,6 @@
     return w;
   }
 
-  private static String name(int i) {
-    return String.format("n-%06d", i);
-  }
-
   /** Ordinary machines rented for twenty tasks of 10 s while there are no others to be had. */
   private static int ordinary(double wait, double deadline) {
     return ordinary(wait, deadline, 0);
