--- a/src/main/java/graderelay/cloud/CloudClient.java
+++ b/src/main/java/graderelay/cloud/CloudClient.java
@@ -22,6 +22,9 @@
   /** What a rental request came to: names, or an empty pool, or nobody knows (both unset). */
   public record Hired(List<String> names, boolean noCapacity) {}
 
+  /** Machines in one page of the list, a batch; a limit of the protocol. */
+  private static final int MOST_IN_PAGE = 500;
+
   private final Loop loop;
   private final Transport transport;
   private final String address;
@@ -53,6 +56,12 @@
         r -> done.accept(r.body() == null || !r.ok() ? null : CloudCodec.types(r.body())));
   }
 
+  /** Seconds that should lie between lists, so that most calls are left for other uses. */
+  public double listEveryS(int machines) {
+    double pages = 1 + machines / (double) MOST_IN_PAGE;
+    return Math.max(Constants.LIST_EVERY_S, pages / (tokens.rate() * Constants.LIST_SHARE));
+  }
+
   /** The whole list of machines, or null. */
   public void list(Consumer<List<Listed>> done) {
     page("", new ArrayList<>(), done);
@@ -62,7 +71,7 @@
     call(
         Use.READ,
         "GET",
-        "/machines?after=" + after + "&most=500",
+        "/machines?after=" + after + "&most=" + MOST_IN_PAGE,
         null,
         r -> {
           if (!r.ok() || r.body() == null) {
--- a/src/main/java/graderelay/config/OperatorSettings.java
+++ b/src/main/java/graderelay/config/OperatorSettings.java
@@ -8,8 +8,11 @@
 import graderelay.wire.BadRequest;
 import graderelay.wire.Json;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 
 /**
  * The operators' own settings: kept in the state service, changed only through the administration
@@ -24,8 +27,8 @@
     boolean spotAllowed,
     boolean claimsPaused,
     String logLevel,
-    List<String> cordoned,
-    List<String> drained) {
+    Set<String> cordoned,
+    Set<String> drained) {
 
   /** The defaults; a slice must fit a value of the deployment's state service. */
   public static OperatorSettings defaults(int mostSlice, String logLevel) {
@@ -38,8 +41,8 @@
         true,
         false,
         logLevel,
-        List.of(),
-        List.of());
+        Set.of(),
+        Set.of());
   }
 
   public Policy.Tuning tuning() {
@@ -124,7 +127,9 @@
     }
     ArrayNode a = Json.array();
     for (JsonNode m : v) {
-      if (!m.isTextual() || m.textValue().isEmpty() || m.textValue().length() > 64) {
+      if (!m.isTextual()
+          || m.textValue().isEmpty()
+          || m.textValue().length() > Constants.MOST_MACHINE_NAME) {
         throw new BadRequest(name + " must hold machine names like n-000231");
       }
       a.add(m.textValue());
@@ -159,10 +164,11 @@
         strings(n.path("drained")));
   }
 
-  private static List<String> strings(JsonNode n) {
-    List<String> s = new ArrayList<>();
+  /** The names in their order, each once. */
+  private static Set<String> strings(JsonNode n) {
+    Set<String> s = new LinkedHashSet<>();
     n.forEach(x -> s.add(x.asText()));
-    return List.copyOf(s);
+    return Collections.unmodifiableSet(s);
   }
 
   /** The stored record over the defaults; what can't be read there is left at its default. */
--- a/src/main/java/graderelay/constants/Constants.java
+++ b/src/main/java/graderelay/constants/Constants.java
@@ -185,10 +185,16 @@
   public static final double KEEP_IMAGES_EVERY_S = 15;
 
   /**
-   * Records that share the machines' images: some 30 bytes for each, so that a thousand machines
+   * Records that share the machines' images: some 30 bytes for each, so that four thousand machines
    * fit values of 2 KiB.
    */
-  public static final int IMAGE_PARTS = 24;
+  public static final int IMAGE_PARTS = 96;
+
+  /**
+   * Such records written at one time, each a change of the state service: a bound on a batch. The
+   * others follow in turn at the next times.
+   */
+  public static final int IMAGE_PARTS_AT_ONCE = 24;
 
   /** Images named in one of those records: a machine's are bits of one number. */
   public static final int KEPT_IMAGES = 60;
@@ -196,9 +202,13 @@
   /** Seconds between records of the recent demand, for the next owner. */
   public static final double KEEP_DEMAND_EVERY_S = 10;
 
-  /** Arrivals of one class, and classes, kept in that record: it has to fit a value. */
-  public static final int KEPT_ARRIVALS = 24;
+  /**
+   * Arrivals of one class kept in that record, at some 20 bytes each: the last minutes of a fleet
+   * of thousands. The oldest are left out where they don't fit a value.
+   */
+  public static final int KEPT_ARRIVALS = 256;
 
+  /** Classes kept in that record. */
   public static final int KEPT_CLASSES = 12;
 
   /** Seconds after a takeover in which no machine is called idle: demand is not known yet. */
@@ -243,7 +253,10 @@
    */
   public static final double CLOSE_SHARE = 0.02;
 
-  /** Machines looked at in one plan as candidates for closing. */
+  /**
+   * Machines looked at in one plan as candidates for closing, at the least; a large fleet looks at
+   * as many as it may close.
+   */
   public static final int CLOSE_TRIES = 8;
 
   /** Share of a machine's own size that must be left over when it is closed: no to and fro. */
@@ -296,17 +309,17 @@
   /** Seconds that a silent machine is kept once its lease has run out: short cuts heal. */
   public static final double SILENT_KEEP_S = 30;
 
-  /** Machines in one rental request; a limit of the protocol. */
+  /** Machines in one rental request, a batch; a limit of the protocol. */
   public static final int MOST_HIRED = 50;
 
-  /** Machines in one deletion request; a limit of the protocol. */
+  /** Machines in one deletion request, a batch; a limit of the protocol. */
   public static final int MOST_RETURNED = 100;
 
   /**
    * Deleted machines remembered: late lists and reports still name them for minutes, in which a
-   * fleet of a thousand may have been replaced several times. Some 100 bytes each.
+   * fleet of four thousand may have been replaced several times. Some 100 bytes each.
    */
-  public static final int MOST_DROPPED = 5000;
+  public static final int MOST_DROPPED = 20_000;
 
   /** Seconds before a deletion without an answer is sent again. */
   public static final double RETURN_RETRY_S = 4;
@@ -314,9 +327,15 @@
   /** Images remembered of a machine; only a guide for placement. */
   public static final int MOST_IMAGES = 64;
 
-  /** Seconds between lists of the machines; the list itself lags by several. */
+  /** Seconds between lists of the machines at the least; the list itself lags by several. */
   public static final double LIST_EVERY_S = 4;
 
+  /**
+   * Share of the cloud's rate that lists may take: the pages of a fleet of thousands would leave no
+   * calls for rentals and deletions, which need the rest.
+   */
+  public static final double LIST_SHARE = 0.4;
+
   /** Seconds between reads of the machine types by the owner: spot prices move slowly. */
   public static final double TYPES_EVERY_S = 60;
 
@@ -347,7 +366,7 @@
   /** Share of its class's wanted wait after which a needed job goes by the priority of others. */
   public static final double PRESSING_WAIT = 0.4;
 
-  /** Final records asked for at once. */
+  /** Final records asked for at once, a batch. */
   public static final int MOST_FOUND = 200;
 
   /** Jobs that a submission may name; a request has at most 64 KiB. */
@@ -440,8 +459,11 @@
   /** Seconds by which what is known of cancellations is old when the peers are asked. */
   public static final double ASK_CANCELLATIONS_S = 2;
 
-  /** Cancelled jobs in a word to a peer; beyond that it says nothing. */
-  public static final int MOST_CANCELLATIONS = 4000;
+  /**
+   * Cancelled jobs, not over yet, in a word to a peer, at some 12 bytes each; beyond that it says
+   * nothing. Their number depends on users and on how fast records are written, not on machines.
+   */
+  public static final int MOST_CANCELLATIONS = 8000;
 
   /** Seconds of failing calls after which a node takes the state service for away. */
   public static final double KEEP_AFTER_S = 0.5;
@@ -529,10 +551,13 @@
   /** Seconds before a failed call to the state service is repeated. */
   public static final double STATE_RETRY_S = 0.2;
 
-  /** Items in one page of a list: each may be near the value limit of some 16 KiB. */
+  /** Items in one page of a list, a batch: each may be near the value limit of some 16 KiB. */
   public static final int PAGE_ITEMS = 200;
 
-  /** Requests that may wait for tokens; beyond that the least urgent is refused. */
+  /**
+   * Requests that may wait for tokens; beyond that the least urgent is refused. A bound on a queue:
+   * claims and ends of a fleet of any size go many to a request.
+   */
   public static final int MOST_WAITING_CALLS = 512;
 
   /**
@@ -591,8 +616,11 @@
   /** Seconds within which a worker that comes back is taken to be unable to reach the owner. */
   public static final double RELAY_MEMORY_S = 12;
 
-  /** Workers remembered as pointed to the owner; each is a few bytes. */
-  public static final int MOST_POINTED = 4096;
+  /**
+   * Workers remembered as pointed to the owner, some 150 bytes each: all of a fleet of four
+   * thousand, with as many again that were replaced a moment ago.
+   */
+  public static final int MOST_POINTED = 8192;
 
   /** Seconds after which a worker whose reports are passed on is pointed to the owner again. */
   public static final double RELAY_FOR_S = 25;
@@ -609,7 +637,7 @@
   /** Seconds without an answer of the state service after which this node is not ready. */
   public static final double READY_S = 2.5;
 
-  /** Submissions under way at once; beyond that the newest is refused at once. */
+  /** Submissions under way at once, a bound on a queue; beyond that the newest is refused. */
   public static final int MOST_SUBMISSIONS = 400;
 
   /** Tasks of one job; a limit of the protocol. */
@@ -638,10 +666,19 @@
   /** Largest factor for spare room that may be set. */
   public static final double MOST_SPARE = 10;
 
-  /** Machine names in one list of the settings, so that the record fits a value. */
-  public static final int MOST_CORDONED = 100;
+  /**
+   * Machine names in one list of the settings: a whole fleet's. How many there are really room for
+   * depends on the state service's values, which the settings' record has to fit.
+   */
+  public static final int MOST_CORDONED = 4096;
+
+  /** Characters of a machine's name in those lists. */
+  public static final int MOST_MACHINE_NAME = 64;
 
-  /** Entries in one answer of the administration API: some 150 bytes each, on a line of 64 KiB. */
+  /**
+   * Entries in one answer of the administration API, a batch: some 150 bytes each, on a line of 64
+   * KiB. Tools ask for page after page.
+   */
   public static final int MOST_LISTED = 250;
 
   /** Seconds between looks at how late the event loop is. */
@@ -655,8 +692,15 @@
   /** Bytes of a request's body; a limit of the protocol. */
   public static final int MOST_BODY = 64 * 1024;
 
-  /** Bytes of a response's body that we take: a watch has no limit of its own. */
-  public static final int MOST_RESPONSE = 8 * 1024 * 1024;
+  /**
+   * Bytes of a response's body that we take, a bound on a batch: a watch has no limit of its own,
+   * and its tree takes several times as much of the heap. Who has missed more reads the records
+   * anew, page by page.
+   */
+  public static final int MOST_RESPONSE = 4 * 1024 * 1024;
+
+  /** Connections that may wait to be accepted: those of a whole fleet after a takeover. */
+  public static final int ACCEPT_BACKLOG = 4096;
 
   /** Bytes of a request line, and of all its headers. */
   public static final int MOST_LINE = 4096;
@@ -675,7 +719,7 @@
   /** Seconds to wait for another controller. */
   public static final double MESH_TIMEOUT_S = 1.0;
 
-  /** Orders in one response to a worker, so that its line stays well below 64 KiB. */
+  /** Orders in one response to a worker, a batch, so that its line stays well below 64 KiB. */
   public static final int MOST_ORDERS = 400;
 
   /** Seconds after which an idle connection is closed. */
--- a/src/main/java/graderelay/core/FleetPlanner.java
+++ b/src/main/java/graderelay/core/FleetPlanner.java
@@ -259,6 +259,7 @@
     waiting.sort(Comparator.comparing(j -> !j.spec.isService()));
     Set<Machine> keep = new HashSet<>();
     Map<JobSpec, Integer> spare = spare(now);
+    dropFull(bins, waiting, spare.keySet());
     for (boolean services : new boolean[] {true, false}) {
       for (Job j : waiting) {
         if (j.spec.isService() == services) {
@@ -288,33 +289,68 @@
     keepImages(now);
   }
 
+  /**
+   * Takes out the machines on which not even the smallest task of the plan fits. On a busy fleet
+   * these are most, and each job that waits would look at every one of them.
+   */
+  private static void dropFull(List<Bin> bins, List<Job> waiting, Set<JobSpec> spare) {
+    double least = Double.MAX_VALUE;
+    for (Job j : waiting) {
+      least = Math.min(least, j.spec.cpus());
+    }
+    for (JobSpec s : spare) {
+      least = Math.min(least, s.cpus());
+    }
+    double smallest = least - Resources.SLACK;
+    bins.removeIf(b -> b.places <= 0 || b.free.cpus() + b.yielding.cpus() < smallest);
+  }
+
   private double lastImages;
+  private int nextImagePart;
 
-  /** Only the records of which a machine has got an image that they don't name. */
+  /**
+   * Only the records of which a machine has got an image that they don't name, and at most so many
+   * at a time, in turn.
+   */
   private void keepImages(double now) {
     if (now - Math.max(startedAt, lastImages) < Constants.KEEP_IMAGES_EVERY_S) {
       return;
     }
     lastImages = now;
-    Map<Integer, Map<String, List<String>>> parts = new HashMap<>();
-    for (Machine m : world.machines.values()) {
-      if (m.imagesChanged) {
-        m.imagesChanged = false;
-        parts.putIfAbsent(m.imagePart(), new HashMap<>());
-      }
-    }
+    Map<Integer, Map<String, List<String>>> parts = changedImageParts();
     if (parts.isEmpty()) {
       return;
     }
     for (Machine m : world.machines.values()) {
       Map<String, List<String>> part = parts.get(m.imagePart());
-      if (part != null && !m.images.isEmpty() && !m.returning) {
+      if (part == null) {
+        continue;
+      }
+      m.imagesChanged = false;
+      if (!m.images.isEmpty() && !m.returning) {
         part.put(m.name, List.copyOf(m.images.keySet()));
       }
     }
     parts.forEach((i, machines) -> world.out.add(new Action.KeepImages(i, machines)));
   }
 
+  /** The records to write now, empty as yet: the next in turn of those that are out of date. */
+  private Map<Integer, Map<String, List<String>>> changedImageParts() {
+    boolean[] changed = new boolean[Constants.IMAGE_PARTS];
+    for (Machine m : world.machines.values()) {
+      changed[m.imagePart()] |= m.imagesChanged;
+    }
+    Map<Integer, Map<String, List<String>>> parts = new HashMap<>();
+    for (int i = 0; i < changed.length && parts.size() < Constants.IMAGE_PARTS_AT_ONCE; i++) {
+      int part = nextImagePart;
+      nextImagePart = (nextImagePart + 1) % changed.length;
+      if (changed[part]) {
+        parts.put(part, new HashMap<>());
+      }
+    }
+    return parts;
+  }
+
   /** Ordinary CPUs that may still be rented for work that could use spot machines. */
   private double dearCpus;
 
@@ -362,8 +398,8 @@
       }
     }
     ordinary.sort(Comparator.comparingDouble(m -> -wasted(m)));
-    int tries = Constants.CLOSE_TRIES;
     int most = atOnce(ordinary);
+    int tries = Math.max(Constants.CLOSE_TRIES, most);
     for (Machine m : ordinary) {
       if (m.closing || keep.contains(m) || now - m.rentedAt < Constants.CHARGED_AT_LEAST_S) {
         continue;
@@ -734,10 +770,48 @@
       return false;
     }
     replacedAt.removeIf(t -> now - t > Constants.REPLACE_MEMORY_S);
-    int up = 0;
-    int silent = 0;
-    int upHere = 0;
-    int silentHere = 0;
+    Silence silence = silence(now);
+    if (silence.mostOf(m.zone) && world.deputies.mayKeep(m.zone, now)) {
+      return false; // The zone is cut off, and its deputy keeps its services up.
+    }
+    return silence.silent + replacedAt.size() <= Math.max(1, silence.up * Constants.ALONE_SHARE);
+  }
+
+  /** How many ordinary machines are silent, in all and by zone, counted once a plan. */
+  private static final class Silence {
+    final double countedAt;
+    int up;
+    int silent;
+    private final Map<String, Integer> upIn = new HashMap<>();
+    private final Map<String, Integer> silentIn = new HashMap<>();
+
+    Silence(double now) {
+      countedAt = now;
+    }
+
+    void count(String zone, boolean quiet) {
+      int one = quiet ? 1 : 0;
+      up++;
+      silent += one;
+      if (zone != null) {
+        upIn.merge(zone, 1, Integer::sum);
+        silentIn.merge(zone, one, Integer::sum);
+      }
+    }
+
+    /** True if more than half of a zone's machines are silent. */
+    boolean mostOf(String zone) {
+      return zone != null && silentIn.getOrDefault(zone, 0) * 2 > upIn.getOrDefault(zone, 0);
+    }
+  }
+
+  private Silence lastSilence = new Silence(Double.NEGATIVE_INFINITY);
+
+  private Silence silence(double now) {
+    if (lastSilence.countedAt == now) {
+      return lastSilence;
+    }
+    Silence counted = new Silence(now);
     for (Machine o : world.machines.values()) {
       if (!o.leaseOver && !o.spot && (o.reported || !o.claims.isEmpty())) {
         // Not only those that were asked already: of hundreds, the first ones are asked first.
@@ -745,16 +819,11 @@
             o.failedPokes > 0
                 || now - Math.max(o.lastReport, startedAt)
                     > world.policy.reportS() * Constants.POKE_REPORTS;
-        up++;
-        silent += quiet ? 1 : 0;
-        upHere += m.zone != null && m.zone.equals(o.zone) ? 1 : 0;
-        silentHere += quiet && m.zone != null && m.zone.equals(o.zone) ? 1 : 0;
+        counted.count(o.zone, quiet);
       }
     }
-    if (silentHere * 2 > upHere && world.deputies.mayKeep(m.zone, now)) {
-      return false; // The zone is cut off, and its deputy keeps its services up.
-    }
-    return silent + replacedAt.size() <= Math.max(1, up * Constants.ALONE_SHARE);
+    lastSilence = counted;
+    return counted;
   }
 
   /** Why a machine should go, or null. */
--- a/src/main/java/graderelay/core/Placer.java
+++ b/src/main/java/graderelay/core/Placer.java
@@ -72,10 +72,11 @@
     waiting.sort(null);
     int left = changes;
     reserve(waiting);
+    List<Machine> roomy = withRoom(usable, waiting);
     for (QueueEntry k : waiting) {
       // On a fleet that work above it fills, a guest's job would not begin at all.
       if (k.job.neverBegan() && now - k.job.submittedAt > Constants.MUST_BEGIN_S) {
-        left -= place(k.job, usable, false, 1, claims, now);
+        left -= place(k.job, usable, roomy, false, 1, claims, now);
       }
     }
     for (int from = 0, to; from < waiting.size(); from = to) {
@@ -95,7 +96,7 @@
           }
           boolean may = left > 0 || service;
           int most = Math.min(k.job.spec.sliceCap(), unreserved(k.job, usable, claims));
-          left -= may ? place(k.job, usable, warmOnly && !service, most, claims, now) : 0;
+          left -= may ? place(k.job, usable, roomy, warmOnly && !service, most, claims, now) : 0;
           if (!may) {
             k.job.waitReason = "changes of the state service are used up for the moment";
           }
@@ -118,6 +119,26 @@
 
   private static final double PAUSE = Constants.NO_ROOM_PAUSE_S;
 
+  /**
+   * The machines on which the smallest task that waits may fit. Room only shrinks while a round
+   * places, so nobody finds any on the others; on a busy fleet those are most, and each job that
+   * waits would look at every one of them.
+   */
+  private List<Machine> withRoom(List<Machine> usable, List<QueueEntry> waiting) {
+    double least = Double.MAX_VALUE;
+    for (QueueEntry k : waiting) {
+      least = Math.min(least, k.job.need.cpus());
+    }
+    double smallest = least - Resources.SLACK;
+    List<Machine> roomy = new ArrayList<>();
+    for (Machine m : usable) {
+      if (m.room.cpus() - m.used.cpus() >= smallest) {
+        roomy.add(m);
+      }
+    }
+    return roomy;
+  }
+
   /**
    * A job with its place in the queue: priority, then what has waited so long that waiting wins,
    * then work within a guarantee, then the team with the least share, then the oldest. Worked out
@@ -246,9 +267,20 @@
     return j.hasDue() ? j.dueAt() : j.submittedAt;
   }
 
-  /** Places what it can of one job and returns how many records that changes. */
+  /**
+   * Places what it can of one job and returns how many records that changes.
+   *
+   * @param usable all machines that may be given tasks
+   * @param roomy those of them that may have room
+   */
   private int place(
-      Job j, List<Machine> usable, boolean warmOnly, int most, List<Claim> claims, double now) {
+      Job j,
+      List<Machine> usable,
+      List<Machine> roomy,
+      boolean warmOnly,
+      int most,
+      List<Claim> claims,
+      double now) {
     if (j.notBefore > now) {
       j.waitReason =
           j.suspect
@@ -286,7 +318,7 @@
         return changed;
       }
       if (fit == null) {
-        fit = new Strata(j, usable, warmOnly);
+        fit = new Strata(j, roomy, warmOnly);
       }
       Machine m = fit.pick();
       if (m != null && !m.warm(j.spec.image()) && fit.warmRoomCanBeMade(usable, now)) {
@@ -395,13 +427,13 @@
     private final List<List<Machine>> by = new ArrayList<>();
     private Boolean canBeMade;
 
-    Strata(Job j, List<Machine> usable, boolean warmOnly) {
+    Strata(Job j, List<Machine> roomy, boolean warmOnly) {
       job = j;
       zoned = j.spec.oneZone() || j.spec.spread();
       for (int i = 0; i < COUNT; i++) {
         by.add(new ArrayList<>());
       }
-      for (Machine m : usable) {
+      for (Machine m : roomy) {
         if (m.holds(j.need) && allowed(j, m)) {
           int stratum = stratum(j, m);
           if (!warmOnly || stratum < COLD) {
@@ -409,7 +441,7 @@
           }
         }
       }
-      world.looked += usable.size();
+      world.looked += roomy.size();
     }
 
     /** The best fit of a sample from the best stratum that has a machine, or null. */
--- a/src/main/java/graderelay/core/Scheduler.java
+++ b/src/main/java/graderelay/core/Scheduler.java
@@ -452,7 +452,7 @@
   }
 
   /** What operators keep off machines, as the settings have it now. */
-  public void onCordons(Collection<String> cordoned, Collection<String> drained, double now) {
+  public void onCordons(Set<String> cordoned, Set<String> drained, double now) {
     for (Machine m : world.machines.values()) {
       boolean drain = drained.contains(m.name);
       boolean starts = drain && !m.operatorDrain;
--- a/src/main/java/graderelay/net/HttpClient.java
+++ b/src/main/java/graderelay/net/HttpClient.java
@@ -11,6 +11,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -251,6 +252,12 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      Call c = call;
+      if (cause instanceof TooLongFrameException && c != null) {
+        // Asked again it would be as large: whoever asked must ask for less.
+        call = null;
+        c.finish(Reply.tooLarge());
+      }
       ctx.close();
     }
   }
--- a/src/main/java/graderelay/net/HttpServer.java
+++ b/src/main/java/graderelay/net/HttpServer.java
@@ -59,7 +59,7 @@
             .group(loop, loop)
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_REUSEADDR, true)
-            .option(ChannelOption.SO_BACKLOG, 256)
+            .option(ChannelOption.SO_BACKLOG, Constants.ACCEPT_BACKLOG)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(
                 new ChannelInitializer<Channel>() {
@@ -126,6 +126,18 @@
     sweep = clock.after(Constants.SWEEP_EVERY_S, this::sweep);
   }
 
+  /** Makes room for one more connection; false if none is idle. */
+  private boolean closeLongestIdle() {
+    for (Conn c : conns) {
+      if (!c.busy && !c.partial) {
+        conns.remove(c);
+        c.channel.close();
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** A body that is too large is malformed by the protocol, and the rest of it is not read. */
   private static final class Whole extends HttpObjectAggregator {
     Whole() {
@@ -173,7 +185,7 @@
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
-      if (conns.size() >= mostConnections) {
+      if (conns.size() >= mostConnections && !closeLongestIdle()) {
         ctx.close();
         return;
       }
--- a/src/main/java/graderelay/net/Reply.java
+++ b/src/main/java/graderelay/net/Reply.java
@@ -8,10 +8,18 @@
 public record Reply(int status, byte[] body, boolean sent) {
   private static final byte[] NOTHING = new byte[0];
 
+  /** The status of {@link #tooLarge}; no server sends it. */
+  public static final int TOO_LARGE = 1;
+
   public static Reply lost() {
     return new Reply(0, NOTHING, true);
   }
 
+  /** An answer came that is larger than this program takes: {@link #TOO_LARGE} as a status. */
+  public static Reply tooLarge() {
+    return new Reply(TOO_LARGE, NOTHING, true);
+  }
+
   public static Reply neverSent() {
     return new Reply(0, NOTHING, false);
   }
--- a/src/main/java/graderelay/service/FleetController.java
+++ b/src/main/java/graderelay/service/FleetController.java
@@ -261,7 +261,8 @@
             core.onCordons(operators.cordoned(), operators.drained(), loop.now());
             stepSoon();
           }
-          listTimer = loop.after(Constants.LIST_EVERY_S, this::list);
+          int known = machines == null ? 0 : machines.size();
+          listTimer = loop.after(cloud.listEveryS(known), this::list);
         });
   }
 
--- a/src/main/java/graderelay/state/StateClient.java
+++ b/src/main/java/graderelay/state/StateClient.java
@@ -355,6 +355,8 @@
                   : How.NOT_EXECUTED;
           case 429, 503 -> How.NOT_EXECUTED;
           case 0 -> r.sent() ? How.UNKNOWN : How.NOT_EXECUTED;
+            // More has changed than one answer may hold: as if the revision were too old.
+          case Reply.TOO_LARGE -> path.startsWith("/watch") ? How.ABSENT : How.UNKNOWN;
           default -> How.UNKNOWN;
         };
     if (r.status() == 429) {
--- a/src/main/java/graderelay/worker/WorkerApi.java
+++ b/src/main/java/graderelay/worker/WorkerApi.java
@@ -84,7 +84,7 @@
     double now = loop.now();
     if (p != null && !r.newerThan(p.session(), p.seq())) {
       // A copy of the past is no sign that its worker can't reach the owner.
-      pointed.put(r.machine(), p);
+      remember(r, p);
       elsewhere(e.to(), o == null ? null : o.member());
       return;
     }
@@ -97,16 +97,13 @@
     boolean longEnough = back && p != null && now - p.relayedSince() > Constants.RELAY_FOR_S;
     if (address == null || !back || longEnough) {
       if (address != null) {
-        pointed.put(r.machine(), new Pointed(now, Double.POSITIVE_INFINITY, r.session(), r.seq()));
+        remember(r, new Pointed(now, Double.POSITIVE_INFINITY, r.session(), r.seq()));
       }
       elsewhere(e.to(), o == null ? null : o.member());
       return;
     }
     double since = p == null ? now : Math.min(now, p.relayedSince());
-    pointed.put(r.machine(), new Pointed(now, since, r.session(), r.seq()));
-    if (pointed.size() > Constants.MOST_POINTED) {
-      pointed.remove(pointed.keySet().iterator().next());
-    }
+    remember(r, new Pointed(now, since, r.session(), r.seq()));
     mesh.send(
         address,
         new PeerRequest.RelayedReport(member, e.body()),
@@ -121,6 +118,13 @@
         });
   }
 
+  private void remember(Report r, Pointed p) {
+    pointed.put(r.machine(), p);
+    if (pointed.size() > Constants.MOST_POINTED) {
+      pointed.remove(pointed.keySet().iterator().next());
+    }
+  }
+
   /** A report that another controller passes on. */
   public void relayed(String via, byte[] body, Consumer<Answer> to) {
     Report r = WorkerCodec.report(Json.read(body));
--- /dev/null
+++ b/src/test/java/graderelay/FleetOfThousandsTest.java
@@ -0,0 +1,130 @@
+package graderelay;
+
+import static graderelay.ScenarioSteps.hearing;
+import static graderelay.ScenarioSteps.name;
+import static graderelay.WorldAssertions.fine;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import graderelay.core.Action;
+import graderelay.core.Scheduler;
+import graderelay.sim.Rules;
+import graderelay.sim.SimWorld;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** A fleet of four thousand machines, with a task on each, through what may befall it. */
+class FleetOfThousandsTest {
+  private static final int MACHINES = 4000;
+  private static final int REPLICAS = 100;
+  private static final double REPORT_S = 4;
+  private static final double LEASE_S = 22;
+  private static final double CPUS_OF_A_MACHINE = 4;
+
+  private static SimWorld fleet() {
+    SimWorld.Shape shape =
+        new SimWorld.Shape(
+            5, REPORT_S, LEASE_S, List.of("a", "b"), MACHINES, CPUS_OF_A_MACHINE * MACHINES);
+    return new SimWorld(70, shape);
+  }
+
+  private static List<Rules.Known> replicasOnEveryMachine(SimWorld w) {
+    List<Rules.Known> jobs = new ArrayList<>();
+    for (int i = 0; i < MACHINES / REPLICAS; i++) {
+      Rules.Known job =
+          w.job(String.format("j-0070%02d", i), REPLICAS, CPUS_OF_A_MACHINE, 0, false);
+      jobs.add(job);
+      w.submit(i % w.size, job);
+    }
+    for (int i = 0; i < 180 && w.rules.starts < MACHINES; i++) {
+      w.loop.run(1);
+    }
+    assertThat(w.rules.starts).isEqualTo(MACHINES);
+    return jobs;
+  }
+
+  @Test
+  void goesThroughATakeoverAndAZoneCutWithoutLosingATask() {
+    SimWorld w = fleet();
+    w.loop.run(4);
+    final List<Rules.Known> jobs = replicasOnEveryMachine(w);
+    w.loop.run(15);
+
+    int leader = w.owner();
+    w.crash(leader);
+    double crashedAt = w.loop.now();
+    while (w.owner() < 0 && w.loop.now() < crashedAt + LEASE_S) {
+      w.loop.run(0.1);
+    }
+    assertThat(w.loop.now() - crashedAt).isLessThan(5);
+    w.loop.run(6);
+    w.start(leader);
+    w.loop.run(LEASE_S + 10);
+    assertThat(w.rules.starts).as(w.rules.trace().toString()).isEqualTo(MACHINES);
+
+    w.net.cutZone("b", true);
+    w.loop.run(LEASE_S + 2);
+    w.net.cutZone("b", false);
+    w.loop.run(LEASE_S);
+    assertThat(w.rules.starts).as(w.rules.trace().toString()).isEqualTo(MACHINES);
+    for (Rules.Known job : jobs) {
+      assertThat(w.stage(0, job.id)).as(job.id).isEqualTo("running");
+    }
+    assertThat(w.workers).hasSize(MACHINES);
+    fine(w);
+  }
+
+  @Test
+  void jobsThatWaitDoNotLookAtMachinesThatAreFull() {
+    Scheduler s = SchedulerFixture.scheduler(1);
+    for (int i = 0; i < MACHINES; i++) {
+      hearing(s, name(i), 0);
+    }
+    for (int i = 0; i < MACHINES / REPLICAS; i++) {
+      s.onJob(SchedulerFixture.wholeMachines(String.format("j-%d", i), REPLICAS), false, 5, 0, 0);
+      SchedulerFixture.commitAll(s, 10 + i, 0.1 + 0.1 * i);
+    }
+    assertThat(s.machines(5).stream().filter(m -> m.claims() == 1).count()).isEqualTo(MACHINES);
+    int waiting = 40;
+    for (int i = 0; i < waiting; i++) {
+      s.onJob(SchedulerFixture.wholeMachines(String.format("j-9%d", i), 10), false, 5, 5, 5);
+    }
+    long before = s.looked();
+    s.step(6);
+    // Each machine a few times for the round as a whole, and not once for each job that waits.
+    assertThat(s.looked() - before).isLessThan(4L * MACHINES);
+  }
+
+  @Test
+  void thePlanRecordsTheImagesOfAllMachinesAFewRecordsAtATime() {
+    Scheduler s = SchedulerFixture.scheduler(1);
+    for (int i = 0; i < MACHINES; i++) {
+      hearing(s, name(i), 0);
+    }
+    s.loaded(0);
+    for (int i = 0; i < MACHINES / REPLICAS; i++) {
+      s.onJob(SchedulerFixture.wholeMachines(String.format("j-%d", i), REPLICAS), false, 5, 0, 0);
+      SchedulerFixture.commitAll(s, 10 + i, 0.1 + 0.1 * i);
+    }
+    Set<String> recorded = new HashSet<>();
+    for (int second = 6; second < 76; second += 2) {
+      for (int i = 0; i < MACHINES; i++) {
+        SchedulerFixture.work(s, name(i), second, 0, second); // What runs there is running still.
+      }
+      s.tick(second + 1);
+      List<Action> actions = SchedulerFixture.taken(s);
+      int records = 0;
+      for (Action a : actions) {
+        if (a instanceof Action.KeepImages images) {
+          records++;
+          recorded.addAll(images.machines().keySet());
+        }
+      }
+      assertThat(records).isLessThanOrEqualTo(24);
+      actions.removeIf(a -> !(a instanceof Action.Command));
+    }
+    assertThat(recorded).hasSize(MACHINES);
+  }
+}
--- a/src/test/java/graderelay/SchedulerFixture.java
+++ b/src/test/java/graderelay/SchedulerFixture.java
@@ -102,6 +102,11 @@
     return like(array(id, tasks), "batch", "team", 0.001);
   }
 
+  /** An array of tasks each of which takes a whole machine. */
+  static JobSpec wholeMachines(String id, int tasks) {
+    return like(array(id, tasks), "study", "guest", 4);
+  }
+
   /** The same array in another class and team, with tasks that take so much. */
   private static JobSpec like(JobSpec s, String jobClass, String team, double amount) {
     return new JobSpec(
--- a/src/test/java/graderelay/sim/SimCloud.java
+++ b/src/test/java/graderelay/sim/SimCloud.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import graderelay.net.Exchange;
 import graderelay.net.Exchange.Answer;
+import graderelay.net.Query;
 import graderelay.wire.Json;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -84,14 +85,7 @@
       }
       case "/machines" -> {
         if (e.method().equals("GET")) {
-          ArrayNode a = out.putArray("saws");
-          for (Snapshot s : snapshots) {
-            if (s.at() <= world.loop.now() - LAG_S) {
-              a.removeAll();
-              s.machines().forEach(a::add);
-            }
-          }
-          out.put("truncated", false);
+          page(out, Query.parse(e.query()));
         } else {
           hire(e, Json.read(e.body()));
           return;
@@ -107,6 +101,26 @@
     e.to().accept(Answer.json(200, Json.write(out)));
   }
 
+  private void page(ObjectNode out, Map<String, String> query) {
+    List<ObjectNode> listed = List.of();
+    for (Snapshot s : snapshots) {
+      listed = s.at() <= world.loop.now() - LAG_S ? s.machines() : listed;
+    }
+    int most = Integer.parseInt(query.get("most"));
+    ArrayNode page = out.putArray("saws");
+    boolean truncated = false;
+    for (ObjectNode machine : listed) {
+      if (machine.path("ref").asText().compareTo(query.get("after")) > 0) {
+        truncated = page.size() == most;
+        if (truncated) {
+          break;
+        }
+        page.add(machine);
+      }
+    }
+    out.put("truncated", truncated);
+  }
+
   private void hire(Exchange e, JsonNode n) {
     String name = n.path("hire").asText();
     ArrayNode names = hires.get(name);
