--- a/src/main/java/graderelay/api/AdminApi.java
+++ b/src/main/java/graderelay/api/AdminApi.java
@@ -32,6 +32,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /**
@@ -92,7 +93,7 @@
           only(e, get, () -> settings(e));
         }
       }
-      case "teams" -> only(e, get, () -> atOwner(e, this::teams));
+      case "teams" -> only(e, get, () -> atLeader(e, this::teams));
       case "jobs" ->
           only(
               e,
@@ -101,14 +102,14 @@
                 if (parts.length == 1) {
                   jobs(e);
                 } else {
-                  atOwner(e, x -> job(x, parts[1]));
+                  atLeader(e, x -> job(x, parts[1]));
                 }
               });
       case "machines" -> {
         if (parts.length == 3) {
           only(e, e.method().equals("POST"), () -> control(e, parts[1], parts[2]));
         } else {
-          only(e, get, () -> atOwner(e, this::machines));
+          only(e, get, () -> atLeader(e, this::machines));
         }
       }
       case "claims" -> {
@@ -137,8 +138,8 @@
     e.to().accept(Answer.json(status, Json.write(n)));
   }
 
-  /** Answers here if this node owns the fleet, else passes the question on to who does. */
-  private void atOwner(Exchange e, java.util.function.Consumer<Exchange> here) {
+  /** Answers here if this controller leads, else passes the question on to who does. */
+  public void atLeader(Exchange e, Consumer<Exchange> here) {
     if (core.get() != null) {
       here.accept(e);
       return;
--- a/src/main/java/graderelay/api/MeshApi.java
+++ b/src/main/java/graderelay/api/MeshApi.java
@@ -4,6 +4,7 @@
 import graderelay.net.Exchange;
 import graderelay.net.Exchange.Answer;
 import graderelay.state.Cancellations;
+import graderelay.state.FeatureRecords;
 import graderelay.state.Leadership;
 import graderelay.state.StateClient;
 import graderelay.wire.Json;
@@ -23,6 +24,9 @@
   }
 
   private final Leadership leadership;
+  private final FeatureRecords features;
+  private final Runnable catchUp;
+  private final String incarnation;
   private final StateClient state;
   private final Cancellations cancellations;
   private final Relayed reports;
@@ -32,16 +36,24 @@
   /**
    * Makes the interface.
    *
+   * @param catchUp reads what has changed in the records
+   * @param incarnation tells this process from others of the same member
    * @param requests takes users' and operators' requests that another controller passes on
    */
   public MeshApi(
       Leadership leadership,
+      FeatureRecords features,
+      Runnable catchUp,
+      String incarnation,
       StateClient state,
       Cancellations cancellations,
       Relayed reports,
       Function<PeerRequest.Delegation, PeerAnswer.Delegated> delegations,
       Exchange.Handler requests) {
     this.leadership = leadership;
+    this.features = features;
+    this.catchUp = catchUp;
+    this.incarnation = incarnation;
     this.state = state;
     this.cancellations = cancellations;
     this.reports = reports;
@@ -53,10 +65,22 @@
   public void handle(Exchange e) {
     boolean message = e.method().equals("POST") && e.path().equals(MeshClient.PATH);
     PeerRequest request = message ? PeerCodec.request(e.body()) : null;
+    int theirs = message ? PeerCodec.featureLevel(e.body()) : 0;
+    int ours = features.gate().current().level();
+    if (theirs > ours) {
+      catchUp.run(); // We have missed a change of the level.
+    }
+    // Whoever has missed one must neither act for the controllers nor be trusted with leases. A
+    // pledge to somebody who knows more than we do is safe: our own election would fail.
+    boolean behind = theirs < ours;
     if (request instanceof PeerRequest.Pledge p) {
-      answer(e, pledged(leadership.promise(p.member(), p.term(), p.seconds())));
+      answer(e, pledged(!behind && leadership.promise(p.member(), p.term(), p.seconds())));
     } else if (request instanceof PeerRequest.KeepPledge p) {
-      answer(e, pledged(leadership.promiseKeep(p.seconds())));
+      answer(e, pledged(!behind && leadership.promiseKeep(p.seconds())));
+    } else if (request instanceof PeerRequest.Identify) {
+      answer(e, new PeerAnswer.Identified(incarnation));
+    } else if (actsForTheLeader(request) && theirs != ours) {
+      e.to().accept(Answer.json(NO_SUCH_MESSAGE, Json.error("of another feature level")));
     } else if (request instanceof PeerRequest.Share s) {
       leadership.takeShare(s.term(), s.changesPerS());
       answer(e, new PeerAnswer.Wanted(state.wantedChanges()));
@@ -76,6 +100,12 @@
     }
   }
 
+  private static boolean actsForTheLeader(PeerRequest request) {
+    return request instanceof PeerRequest.Handover
+        || request instanceof PeerRequest.Delegation
+        || request instanceof PeerRequest.RelayedReport;
+  }
+
   private void relay(Exchange e, String method, String path, String query, byte[] body) {
     requests.handle(
         new Exchange(method, path, query, body, true, a -> answer(e, new PeerAnswer.Relayed(a))));
--- a/src/main/java/graderelay/api/UserApi.java
+++ b/src/main/java/graderelay/api/UserApi.java
@@ -535,7 +535,7 @@
     StateClient.Txn txn =
         new StateClient.Txn()
             .when(key, live.mark)
-            .when(StateCodec.barKey(settings.member()), 0)
+            .when(cache.election().suspensionKey(settings.member()), 0)
             .put(key, StateCodec.job(live.spec, true));
     state.commit(
         txn,
--- a/src/main/java/graderelay/cli/Main.java
+++ b/src/main/java/graderelay/cli/Main.java
@@ -17,7 +17,8 @@
       "2:wrong usage or wrong settings; the message names the field",
       "3:the server can't be reached",
       "4:the server refused the request",
-      "5:the server can't take the request now; try again later"
+      "5:the server can't take the request now; try again later",
+      "6:the cluster has gone on without this controller; the message says why"
     },
     subcommands = {
       Serve.class,
@@ -28,6 +29,7 @@
       Tools.Cancel.class,
       Tools.Machines.class,
       Tools.SettingsTool.class,
+      FeaturesTool.class,
       Warmup.class
     })
 public final class Main implements Runnable {
@@ -36,17 +38,26 @@
   static final int UNREACHABLE = 3;
   static final int REFUSED = 4;
   static final int UNAVAILABLE = 5;
+  static final int LEFT = 6;
 
   private Main() {}
 
   public static void main(String[] args) {
     String level = System.getenv("LOG_LEVEL");
     Logs.start(level);
-    // The platform's own call goes straight to work: the argument parser's classes can't be
-    // archived
-    // and would cost every restart a good part of a second of a small machine.
-    boolean plain = args.length == 3 && args[0].equals("serve") && args[1].equals("--config");
-    int code = plain ? Serve.run(args[2]) : new CommandLine(new Main()).execute(args);
+    // The platform's own calls go straight to work: the argument parser's classes can't be
+    // archived and would cost every restart a good part of a second of a small machine.
+    int code = Serve.RUNNING;
+    if (args.length == 3 && args[0].equals("serve") && args[1].equals("--config")) {
+      code = Serve.run(args[2], null);
+    } else if (args.length == 5
+        && args[0].equals("serve")
+        && args[1].equals("--options")
+        && args[3].equals("--config")) {
+      code = Serve.run(args[4], args[2]);
+    } else {
+      code = new CommandLine(new Main()).execute(args);
+    }
     if (code != Serve.RUNNING) {
       System.exit(code);
     }
--- a/src/main/java/graderelay/cli/Serve.java
+++ b/src/main/java/graderelay/cli/Serve.java
@@ -1,5 +1,6 @@
 package graderelay.cli;
 
+import graderelay.config.Options;
 import graderelay.config.Settings;
 import graderelay.constants.Constants;
 import graderelay.net.HttpClient;
@@ -23,32 +24,53 @@
   @Option(names = "--config", required = true, paramLabel = "FILE", description = "settings file")
   private String file;
 
+  @Option(
+      names = "--options",
+      paramLabel = "FILE",
+      description = "what to switch on beside the settings, like deploy/options.toml")
+  private String optionsFile;
+
   @Override
   public Integer call() {
-    return run(file);
+    return run(file, optionsFile);
   }
 
-  /** Runs a controller with the settings of a file; the exit code, or that it goes on. */
-  static int run(String file) {
+  /**
+   * Runs a controller with the settings of a file; the exit code, or that it goes on.
+   *
+   * @param optionsFile may be null
+   */
+  static int run(String file, String optionsFile) {
+    String reading = file;
     Settings s;
+    Options options;
     try {
       s = Settings.load(file);
+      reading = optionsFile;
+      options = optionsFile == null ? Options.none() : Options.load(optionsFile);
     } catch (Settings.Wrong e) {
-      System.err.println("graderelay: " + file + ": " + e.getMessage());
+      System.err.println("graderelay: " + reading + ": " + e.getMessage());
       return Main.USAGE;
     }
-    return start(s) ? RUNNING : Main.FAILED;
+    return start(s, options) ? RUNNING : Main.FAILED;
+  }
+
+  /** The cluster has gone on without this process: it ends with a message and a code. */
+  private static void leave(String why) {
+    System.err.println("graderelay: this controller leaves: " + why);
+    System.exit(Main.LEFT);
   }
 
   /** Starts a node on its sockets; false if an address can't be had. */
-  private static boolean start(Settings s) {
+  private static boolean start(Settings s, Options options) {
     var group = new NioEventLoopGroup(1);
     var loop = group.next();
     var clock = new NettyLoop(loop);
     byte[] seed = new SecureRandom().generateSeed(8);
     var random = new SplittableRandom(java.nio.ByteBuffer.wrap(seed).getLong());
     var client = new HttpClient(loop, (int) (s.maxConnections() * Constants.IDLE_LINES_SHARE));
-    Node node = new Node(clock, client, s, random);
+    Node node = new Node(clock, client, s, options, random);
+    node.onLeave(Serve::leave);
     int most = (int) (s.maxConnections() * Constants.ACCEPT_SHARE);
     HttpServer api = new HttpServer(loop, clock, most, node::handle);
     HttpServer mesh = new HttpServer(loop, clock, s.maxConnections(), node::handleMesh);
--- /dev/null
+++ b/src/main/java/graderelay/config/Options.java
@@ -0,0 +1,129 @@
+package graderelay.config;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import graderelay.constants.Constants;
+import graderelay.features.Feature;
+import graderelay.features.FeatureRange;
+import graderelay.features.UpgradePolicy;
+import java.io.File;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * What a deployment switches on beside the platform's settings, from a file that comes with the
+ * program ({@code deploy/options.toml}). Without one everything new is off: the program takes part
+ * in a cluster of any feature level that it supports, but publishes nothing and raises nothing.
+ *
+ * @param features how the cluster's feature level rises, or null if it is left alone
+ * @param supported the feature levels that this program says it supports
+ */
+public record Options(UpgradePolicy features, FeatureRange supported) {
+  private static final Set<String> TABLES = Set.of("features");
+  private static final Set<String> FIELDS = Set.of("min_level", "max_level", "finalize", "soak_s");
+
+  /** Everything new is off. */
+  public static Options none() {
+    return new Options(null, FeatureRange.ofThisProgram());
+  }
+
+  /** The options of a file. */
+  public static Options load(String file) throws Settings.Wrong {
+    try {
+      return parse(new TomlMapper().readTree(new File(file)));
+    } catch (IOException e) {
+      String first = String.valueOf(e.getMessage()).split("\n", 2)[0];
+      throw new Settings.Wrong("the file can't be read as TOML: " + first);
+    }
+  }
+
+  /** Checks a tree of options; a field that is not known is a mistake here. */
+  public static Options parse(JsonNode n) throws Settings.Wrong {
+    known(n, "", TABLES);
+    if (!n.has("features")) {
+      return none();
+    }
+    JsonNode f = n.get("features");
+    if (!f.isObject()) {
+      throw new Settings.Wrong("features must be a table");
+    }
+    known(f, "features.", FIELDS);
+    int min = level(f, "min_level", Feature.BASE_LEVEL);
+    int max = level(f, "max_level", Feature.LATEST_LEVEL);
+    if (min > max) {
+      throw new Settings.Wrong(
+          "features.min_level is " + min + ", above features.max_level, which is " + max);
+    }
+    UpgradePolicy policy = new UpgradePolicy(automatic(f), soak(f));
+    return new Options(policy, new FeatureRange(min, max));
+  }
+
+  private static void known(JsonNode n, String at, Set<String> names) throws Settings.Wrong {
+    for (var fields = n.fieldNames(); fields.hasNext(); ) {
+      String name = fields.next();
+      if (!names.contains(name)) {
+        throw new Settings.Wrong(at + name + " is not known; there are " + sorted(names));
+      }
+    }
+  }
+
+  private static String sorted(Set<String> names) {
+    List<String> all = new ArrayList<>(names);
+    all.sort(null);
+    return String.join(", ", all);
+  }
+
+  /** A feature level, as a number or as the name of the feature that begins with it. */
+  private static int level(JsonNode f, String name, int otherwise) throws Settings.Wrong {
+    JsonNode v = f.path(name);
+    if (v.isMissingNode()) {
+      return otherwise;
+    }
+    if (v.isTextual()) {
+      return Feature.byExternalName(v.textValue())
+          .orElseThrow(() -> new Settings.Wrong("features." + name + ": " + notAFeature(v)))
+          .level();
+    }
+    if (!v.isInt() || v.intValue() < Feature.BASE_LEVEL || v.intValue() > Feature.LATEST_LEVEL) {
+      throw new Settings.Wrong(
+          "features."
+              + name
+              + " must be a feature level from "
+              + Feature.BASE_LEVEL
+              + " to "
+              + Feature.LATEST_LEVEL
+              + ", or a feature's name");
+    }
+    return v.intValue();
+  }
+
+  private static String notAFeature(JsonNode v) {
+    List<String> names = new ArrayList<>();
+    for (Feature feature : Feature.values()) {
+      names.add(feature.externalName());
+    }
+    return v.textValue() + " is not a feature; there are " + String.join(", ", names);
+  }
+
+  private static boolean automatic(JsonNode f) throws Settings.Wrong {
+    String v = f.path("finalize").asText("automatic");
+    if (!v.equals("automatic") && !v.equals("manual")) {
+      throw new Settings.Wrong("features.finalize must be \"automatic\" or \"manual\"");
+    }
+    return v.equals("automatic");
+  }
+
+  private static double soak(JsonNode f) throws Settings.Wrong {
+    JsonNode v = f.path("soak_s");
+    if (v.isMissingNode()) {
+      return Constants.FEATURE_SOAK_S;
+    }
+    if (!v.isNumber() || !(v.doubleValue() >= 0 && v.doubleValue() <= Constants.MOST_SOAK_S)) {
+      throw new Settings.Wrong(
+          "features.soak_s must be a number from 0 to " + (long) Constants.MOST_SOAK_S);
+    }
+    return v.doubleValue();
+  }
+}
--- a/src/main/java/graderelay/constants/Constants.java
+++ b/src/main/java/graderelay/constants/Constants.java
@@ -501,6 +501,35 @@
   /** Seconds without an answer after which a deputy gives its grant back through the records. */
   public static final double DEPUTY_GIVES_BACK_S = 2;
 
+  // ---------------------------------------------------------------- feature levels
+
+  /**
+   * Seconds for which all controllers must have been up as they are before the feature level rises:
+   * long enough for an upgrade that fails at its start to be noticed and rolled back.
+   */
+  public static final double FEATURE_SOAK_S = 30;
+
+  /** Longest soak time that may be set, in seconds. */
+  public static final double MOST_SOAK_S = 86_400;
+
+  /** Seconds between looks at feature levels. */
+  public static final double FEATURE_LOOK_EVERY_S = 1;
+
+  /** Seconds without an answer after which a controller's soak time begins anew. */
+  public static final double MEMBER_SILENT_S = 3.2;
+
+  /** Records that share the machines' images in their compact form, some 250 machines each. */
+  public static final int COMPACT_IMAGE_PARTS = 16;
+
+  /** Bytes of a compact hint once it is decompressed; more is a mistake. */
+  public static final int MOST_HINT_BYTES = 1024 * 1024;
+
+  /**
+   * Seconds between two looks of a lease delegate after which it takes itself for suspended
+   * meanwhile: what it was granted counts no more until it has heard the leader again.
+   */
+  public static final double SUSPENDED_S = 3;
+
   // ---------------------------------------------------------------- state service
 
   /** Share of the deployment's request rate that the owner gives itself. */
--- a/src/main/java/graderelay/core/ClusterState.java
+++ b/src/main/java/graderelay/core/ClusterState.java
@@ -42,6 +42,9 @@
   /** Jobs whose users have asked to stop them. */
   final Set<Job> stopped = new LinkedHashSet<>();
 
+  /** Records that share the machines' images. */
+  int imageParts = Constants.IMAGE_PARTS;
+
   /** Something has changed that a round should look at. */
   boolean dirty = true;
 
--- a/src/main/java/graderelay/core/FleetPlanner.java
+++ b/src/main/java/graderelay/core/FleetPlanner.java
@@ -322,7 +322,7 @@
       return;
     }
     for (Machine m : world.machines.values()) {
-      Map<String, List<String>> part = parts.get(m.imagePart());
+      Map<String, List<String>> part = parts.get(m.imagePart(world.imageParts));
       if (part == null) {
         continue;
       }
@@ -336,14 +336,14 @@
 
   /** The records to write now, empty as yet: the next in turn of those that are out of date. */
   private Map<Integer, Map<String, List<String>>> changedImageParts() {
-    boolean[] changed = new boolean[Constants.IMAGE_PARTS];
+    boolean[] changed = new boolean[world.imageParts];
     for (Machine m : world.machines.values()) {
-      changed[m.imagePart()] |= m.imagesChanged;
+      changed[m.imagePart(world.imageParts)] |= m.imagesChanged;
     }
     Map<Integer, Map<String, List<String>>> parts = new HashMap<>();
     for (int i = 0; i < changed.length && parts.size() < Constants.IMAGE_PARTS_AT_ONCE; i++) {
-      int part = nextImagePart;
-      nextImagePart = (nextImagePart + 1) % changed.length;
+      int part = nextImagePart % changed.length;
+      nextImagePart = part + 1;
       if (changed[part]) {
         parts.put(part, new HashMap<>());
       }
--- a/src/main/java/graderelay/core/Machine.java
+++ b/src/main/java/graderelay/core/Machine.java
@@ -102,9 +102,9 @@
   /** An image is there that no record of ours names yet. */
   boolean imagesChanged;
 
-  /** Which of the records of images names this machine. */
-  int imagePart() {
-    return Math.floorMod(name.hashCode(), Constants.IMAGE_PARTS);
+  /** Which of so many records of images names this machine. */
+  int imagePart(int parts) {
+    return Math.floorMod(name.hashCode(), parts);
   }
 
   /** Images that a task here waits for, as of the last report. */
--- a/src/main/java/graderelay/core/Scheduler.java
+++ b/src/main/java/graderelay/core/Scheduler.java
@@ -171,6 +171,14 @@
     world.knownImages.putAll(machines);
   }
 
+  /** In how many records the images on machines are kept from now on. */
+  public void onImageParts(int parts) {
+    if (parts != world.imageParts) {
+      world.imageParts = parts;
+      world.machines.values().forEach(m -> m.imagesChanged = !m.images.isEmpty());
+    }
+  }
+
   public void onJobGone(String id, double now) {
     Job j = world.jobs.get(id);
     if (j != null && !j.ending) {
--- /dev/null
+++ b/src/main/java/graderelay/features/ClusterLevel.java
@@ -0,0 +1,33 @@
+package graderelay.features;
+
+/**
+ * The finalized feature level of the cluster.
+ *
+ * @param level the level whose forms may be stored
+ * @param target the level to which the cluster is on its way down, or {@code level} itself
+ */
+public record ClusterLevel(int level, int target) {
+  /** What a cluster has whose state service holds no record of a level. */
+  public static final ClusterLevel BASE = of(Feature.BASE_LEVEL);
+
+  public ClusterLevel {
+    if (target < Feature.BASE_LEVEL || target > level) {
+      throw new IllegalArgumentException("no feature level: " + level + " towards " + target);
+    }
+  }
+
+  /** A level that stays. */
+  public static ClusterLevel of(int level) {
+    return new ClusterLevel(level, level);
+  }
+
+  /** True if forms of the feature may be stored at this level. */
+  public boolean has(Feature feature) {
+    return feature.level() <= level;
+  }
+
+  /** True while a downgrade is under way: what is above the target is read, but not used anew. */
+  public boolean lowering() {
+    return target < level;
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/features/FeatureGate.java
@@ -0,0 +1,98 @@
+package graderelay.features;
+
+/**
+ * The one place that decides what this program may do at the cluster's feature level. It is open
+ * once the level is known to be one that this program supports, and shut while it is known not to
+ * be, or can't be read, or once this process has left.
+ */
+public final class FeatureGate {
+  private static final String NOT_READ = "the cluster's feature level has not been read yet";
+
+  private final FeatureRange supported;
+  private ClusterLevel current = ClusterLevel.BASE;
+  private boolean known;
+  private String shutBecause;
+  private String leftBecause;
+  private boolean wasOpen;
+
+  public FeatureGate(FeatureRange supported) {
+    this.supported = supported;
+  }
+
+  /** The levels that this program supports. */
+  public FeatureRange supported() {
+    return supported;
+  }
+
+  /** The cluster's level as last read. */
+  public ClusterLevel current() {
+    return current;
+  }
+
+  /** Takes the level that the state service holds. */
+  public void onLevel(ClusterLevel level) {
+    current = level;
+    known = true;
+    if (supported.supports(level.level())) {
+      shutBecause = null;
+      wasOpen = true;
+    } else {
+      shutBecause =
+          "the cluster's feature level is "
+              + level.level()
+              + ", and this program supports "
+              + supported;
+    }
+  }
+
+  /** The state service holds something that is no level: nothing may be assumed. */
+  public void onMalformed(String why) {
+    known = true;
+    shutBecause = "the record of the cluster's feature level is malformed: " + why;
+  }
+
+  /** This process leaves for good. */
+  public void leave(String why) {
+    leftBecause = why;
+  }
+
+  /** True if this program may act in the cluster. */
+  public boolean isOpen() {
+    return known && !isShut();
+  }
+
+  /**
+   * True if this program is known to have no part in the cluster. Before the level is known it is
+   * neither open nor shut: what needs no level, like keeping leases with the word of all others,
+   * may be done.
+   */
+  public boolean isShut() {
+    return shutBecause != null || leftBecause != null;
+  }
+
+  /** Why this program may not act, or null if it may. */
+  public String closedBecause() {
+    if (leftBecause != null) {
+      return leftBecause;
+    }
+    return known ? shutBecause : NOT_READ;
+  }
+
+  /**
+   * True if the cluster was switched to a level that this program does not support while it ran, as
+   * happens to a process that was suspended meanwhile.
+   */
+  public boolean overtaken() {
+    return wasOpen && !supported.supports(current.level());
+  }
+
+  /** True if the feature may be used: new forms may be written. */
+  public boolean enabled(Feature feature) {
+    return isOpen() && feature.level() <= current.target();
+  }
+
+  /** True if forms of the feature may be stored, also while they are being removed. */
+  public boolean present(Feature feature) {
+    return current.has(feature);
+  }
+}
--- a/src/main/java/graderelay/mesh/MeshClient.java
+++ b/src/main/java/graderelay/mesh/MeshClient.java
@@ -2,6 +2,7 @@
 
 import graderelay.config.Settings;
 import graderelay.constants.Constants;
+import graderelay.features.FeatureGate;
 import graderelay.net.Transport;
 import graderelay.wire.PeerCodec;
 import graderelay.wire.PeerRequest;
@@ -16,10 +17,17 @@
 
   private final Transport transport;
   private final List<Settings.Peer> peers;
+  private final FeatureGate gate;
 
-  public MeshClient(Transport transport, List<Settings.Peer> peers) {
+  /**
+   * Makes a client.
+   *
+   * @param gate knows the feature level that goes with each request
+   */
+  public MeshClient(Transport transport, List<Settings.Peer> peers, FeatureGate gate) {
     this.transport = transport;
     this.peers = peers;
+    this.gate = gate;
   }
 
   public List<Settings.Peer> peers() {
@@ -40,7 +48,7 @@
         address,
         "POST",
         PATH,
-        PeerCodec.encode(request),
+        PeerCodec.encode(request, gate.current().level()),
         timeoutS,
         r -> done.accept(r.ok() ? decoder.apply(r.body()) : null));
   }
--- /dev/null
+++ b/src/main/java/graderelay/service/FeatureStore.java
@@ -0,0 +1,169 @@
+package graderelay.service;
+
+import graderelay.config.Settings;
+import graderelay.features.ClusterLevel;
+import graderelay.features.ClusterStore;
+import graderelay.features.Feature;
+import graderelay.features.Member;
+import graderelay.net.TokenBucket.Use;
+import graderelay.state.Cache;
+import graderelay.state.FeatureRecords;
+import graderelay.state.Leadership;
+import graderelay.state.LevelChange;
+import graderelay.state.StateClient;
+import graderelay.state.StateClient.How;
+import graderelay.wire.FeatureCodec;
+import graderelay.wire.Json;
+import graderelay.wire.StateCodec;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** The records behind the duty for feature levels, in the state service. */
+final class FeatureStore implements ClusterStore {
+  private final StateClient state;
+  private final Cache cache;
+  private final Leadership leadership;
+  private final List<String> members = new ArrayList<>();
+  private final int mostChanges;
+
+  FeatureStore(StateClient state, Cache cache, Leadership leadership, Settings settings) {
+    this.state = state;
+    this.cache = cache;
+    this.leadership = leadership;
+    this.mostChanges = settings.least().txnOps();
+    members.add(settings.member());
+    settings.peers().forEach(p -> members.add(p.member()));
+  }
+
+  private FeatureRecords records() {
+    return cache.features();
+  }
+
+  @Override
+  public boolean leads() {
+    return leadership.entitled() && cache.loaded();
+  }
+
+  @Override
+  public Map<String, Member> published() {
+    return records().members();
+  }
+
+  @Override
+  public boolean held() {
+    return records().held();
+  }
+
+  @Override
+  public void changeLevel(ClusterLevel to, Collection<Member> on, Consumer<Outcome> done) {
+    leadership.changeLevel(
+        new LevelChange(to, on, members, mostChanges), how -> done.accept(outcome(how)));
+  }
+
+  private StateClient.Txn asLeader() {
+    return new StateClient.Txn().when(cache.election().leaderKey(), leadership.ownerMark());
+  }
+
+  private void commit(StateClient.Txn txn, Consumer<Outcome> done) {
+    // What is decided next is decided on the records as they are then.
+    state.commit(txn, Use.CLAIM, r -> cache.catchUp(ok -> done.accept(outcome(r.how()))));
+  }
+
+  private static Outcome outcome(How how) {
+    return switch (how) {
+      case DONE -> Outcome.DONE;
+      case CONFLICT -> Outcome.CONFLICT;
+      default -> Outcome.UNANSWERED;
+    };
+  }
+
+  @Override
+  public void beginLowering(ClusterLevel to, Consumer<Outcome> done) {
+    commit(
+        asLeader()
+            .put(FeatureCodec.LEVEL, FeatureCodec.level(to))
+            .put(FeatureCodec.HOLD, Json.object()),
+        done);
+  }
+
+  @Override
+  public void hold(boolean on, Consumer<Outcome> done) {
+    if (on == held()) {
+      done.accept(Outcome.DONE);
+      return;
+    }
+    StateClient.Txn txn = new StateClient.Txn().when(FeatureCodec.HOLD, records().holdRevision());
+    commit(on ? txn.put(FeatureCodec.HOLD, Json.object()) : txn.drop(FeatureCodec.HOLD), done);
+  }
+
+  private static String prefixOf(Feature feature) {
+    return switch (feature) {
+      case SEALED_ELECTION -> StateCodec.BARS;
+      case COMPACT_HINTS -> FeatureCodec.HINTS;
+    };
+  }
+
+  @Override
+  public void keysOf(Feature feature, Consumer<List<String>> done) {
+    state.list(
+        prefixOf(feature),
+        Use.CLAIM,
+        pages -> {
+          if (pages == null) {
+            done.accept(null);
+            return;
+          }
+          List<String> keys = new ArrayList<>();
+          pages.forEach(p -> p.path("items").forEach(i -> keys.add(i.path("key").asText())));
+          done.accept(keys);
+        });
+  }
+
+  @Override
+  public void remove(List<String> keys, Consumer<Outcome> done) {
+    StateClient.Txn txn = asLeader();
+    keys.subList(0, Math.min(mostChanges, keys.size())).forEach(txn::drop);
+    commit(txn, done);
+  }
+
+  @Override
+  public void complete(Feature feature, Consumer<Boolean> done) {
+    switch (feature) {
+      case SEALED_ELECTION -> sealMembers(done);
+      case COMPACT_HINTS -> removePlainHints(done);
+    }
+  }
+
+  /** Suspends every member in the layout that only older versions read. */
+  private void sealMembers(Consumer<Boolean> done) {
+    StateClient.Txn txn = asLeader();
+    int missing = 0;
+    for (String member : members) {
+      if (!cache.election().openlySuspended(member) && missing < mostChanges) {
+        txn.put(StateCodec.barKey(member), StateCodec.bar(""));
+        missing++;
+      }
+    }
+    if (missing == 0) {
+      done.accept(true);
+    } else {
+      commit(txn, outcome -> done.accept(false));
+    }
+  }
+
+  /** Hints in the form of before would be ever more out of date. */
+  private void removePlainHints(Consumer<Boolean> done) {
+    List<String> plain = new ArrayList<>(cache.images().keySet());
+    if (cache.demand() != null) {
+      plain.add(StateCodec.DEMAND);
+    }
+    if (plain.isEmpty()) {
+      done.accept(true);
+    } else {
+      remove(plain, outcome -> done.accept(false));
+    }
+  }
+}
--- a/src/main/java/graderelay/service/FleetController.java
+++ b/src/main/java/graderelay/service/FleetController.java
@@ -55,6 +55,7 @@
   private final double startedAt;
   private final Settings.StateLimits least;
   private final CancellationResolver needs;
+  private final LeaderHints hints;
   private final double listLagS;
 
   FleetController(
@@ -79,6 +80,7 @@
     this.least = settings.least();
     this.needs =
         new CancellationResolver(cache, new FinalStateLookup(loop, state, cache, least.txnOps()));
+    this.hints = new LeaderHints(state, cache, leadership, least.valueBytes());
     this.operators = operators;
     this.metrics = metrics;
     this.firstTerm = leadership.term();
@@ -95,7 +97,8 @@
   /** Takes the records as they are now, which the caller has just caught up with. */
   void start() {
     double now = loop.now();
-    cache.images().values().forEach(n -> core.onImages(StateCodec.images(n)));
+    hints.images().forEach(core::onImages);
+    core.onImageParts(hints.imageParts());
     for (Cache.Entry e : cache.jobs().values()) {
       onJob(e);
     }
@@ -104,8 +107,9 @@
           (i, s) -> core.onSlice(new SliceKey(e.spec.id(), i), s.record(), s.mark(), now));
     }
     cache.looseSlices().forEach((k, s) -> core.onSlice(k, s.record(), s.mark(), now));
-    if (cache.demand() != null) {
-      core.onDemand(StateCodec.demand(cache.demand(), loop.wallMs()), now);
+    JsonNode demand = hints.demand();
+    if (demand != null) {
+      core.onDemand(StateCodec.demand(demand, loop.wallMs()), now);
     }
     core.loaded(now);
     list();
@@ -167,6 +171,13 @@
     core.onSliceGone(key);
   }
 
+  /** The term was raised with a change of the feature level, which may change the hints' form. */
+  void onTermRaised(long term) {
+    core.onTerm(term, loop.now());
+    core.onImageParts(hints.imageParts());
+    stepSoon();
+  }
+
   void onTypes(List<MachineType> types) {
     core.onTypes(types);
     stepSoon();
@@ -288,24 +299,9 @@
       } else if (a instanceof Action.FindEnds f) {
         findEnds(f.jobs());
       } else if (a instanceof Action.KeepDemand k) {
-        // A hint, so an answer that is lost doesn't matter; the owner's mark keeps past ones out.
-        state.commit(
-            new StateClient.Txn()
-                .when(StateCodec.OWNER, leadership.ownerMark())
-                .put(
-                    StateCodec.DEMAND,
-                    StateCodec.demand(k.classes(), loop.wallMs(), least.valueBytes())),
-            Use.SUBMISSION,
-            r -> {});
+        hints.keepDemand(k, loop.wallMs());
       } else if (a instanceof Action.KeepImages k) {
-        state.commit(
-            new StateClient.Txn()
-                .when(StateCodec.OWNER, leadership.ownerMark())
-                .put(
-                    StateCodec.IMAGES + k.part(),
-                    StateCodec.images(k.machines(), Constants.KEPT_IMAGES, least.valueBytes())),
-            Use.SUBMISSION,
-            r -> {});
+        hints.keepImages(k);
       } else if (a instanceof Action.RaiseTerm) {
         leadership.raise(
             term -> {
@@ -319,7 +315,8 @@
   }
 
   private void write(Action.Write w) {
-    StateClient.Txn txn = new StateClient.Txn().when(StateCodec.OWNER, leadership.ownerMark());
+    StateClient.Txn txn =
+        new StateClient.Txn().when(cache.election().leaderKey(), leadership.ownerMark());
     java.util.Set<String> jobs = new java.util.HashSet<>();
     for (Action.SlicePut p : w.slices()) {
       String key = StateCodec.sliceKey(p.key());
--- /dev/null
+++ b/src/main/java/graderelay/service/LeaderHints.java
@@ -0,0 +1,118 @@
+package graderelay.service;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import graderelay.constants.Constants;
+import graderelay.core.Action;
+import graderelay.features.Feature;
+import graderelay.net.TokenBucket.Use;
+import graderelay.state.Cache;
+import graderelay.state.Leadership;
+import graderelay.state.StateClient;
+import graderelay.wire.CompactHints;
+import graderelay.wire.FeatureCodec;
+import graderelay.wire.MalformedRecord;
+import graderelay.wire.StateCodec;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What a leader keeps for the next one: the images on machines and the recent demand. Either form
+ * is read; which one is written depends on {@link Feature#COMPACT_HINTS}. They are hints, so an
+ * answer that is lost or a record that can't be read doesn't matter.
+ */
+final class LeaderHints {
+  private static final Logger LOG = LoggerFactory.getLogger("hints");
+
+  /**
+   * How many times larger than a value the plain form may be whose compact form still fits it: it
+   * was measured to be more than that.
+   */
+  private static final int LEAST_RATIO = 3;
+
+  private final StateClient state;
+  private final Cache cache;
+  private final Leadership leadership;
+  private final int mostBytes;
+
+  LeaderHints(StateClient state, Cache cache, Leadership leadership, int mostBytes) {
+    this.state = state;
+    this.cache = cache;
+    this.leadership = leadership;
+    this.mostBytes = mostBytes;
+  }
+
+  private boolean compact() {
+    return cache.features().gate().enabled(Feature.COMPACT_HINTS);
+  }
+
+  /** Records that share the images of all machines. */
+  int imageParts() {
+    return compact() ? Constants.COMPACT_IMAGE_PARTS : Constants.IMAGE_PARTS;
+  }
+
+  /** The images on machines in all records, the newer form last. */
+  List<Map<String, List<String>>> images() {
+    List<Map<String, List<String>>> all = new ArrayList<>();
+    cache.images().values().forEach(n -> all.add(StateCodec.images(n)));
+    cache
+        .compactHints()
+        .forEach(
+            (key, n) -> {
+              JsonNode plain = key.startsWith(FeatureCodec.IMAGE_HINTS) ? unpacked(key, n) : null;
+              if (plain != null) {
+                all.add(StateCodec.images(plain));
+              }
+            });
+    return all;
+  }
+
+  /** The recent demand, or null. */
+  JsonNode demand() {
+    JsonNode compact = cache.compactHints().get(FeatureCodec.DEMAND_HINT);
+    JsonNode plain = compact == null ? null : unpacked(FeatureCodec.DEMAND_HINT, compact);
+    return plain == null ? cache.demand() : plain;
+  }
+
+  private static JsonNode unpacked(String key, JsonNode compact) {
+    try {
+      return CompactHints.unpack(compact);
+    } catch (MalformedRecord e) {
+      LOG.warn("{} is left out: {}", key, e.getMessage());
+      return null;
+    }
+  }
+
+  void keepDemand(Action.KeepDemand k, long wallMs) {
+    if (compact()) {
+      ObjectNode plain = StateCodec.demand(k.classes(), wallMs, mostBytes * LEAST_RATIO);
+      put(FeatureCodec.DEMAND_HINT, CompactHints.pack(plain));
+    } else {
+      put(StateCodec.DEMAND, StateCodec.demand(k.classes(), wallMs, mostBytes));
+    }
+  }
+
+  void keepImages(Action.KeepImages k) {
+    if (compact()) {
+      ObjectNode plain =
+          StateCodec.images(k.machines(), Constants.KEPT_IMAGES, mostBytes * LEAST_RATIO);
+      put(FeatureCodec.IMAGE_HINTS + k.part(), CompactHints.pack(plain));
+    } else {
+      put(
+          StateCodec.IMAGES + k.part(),
+          StateCodec.images(k.machines(), Constants.KEPT_IMAGES, mostBytes));
+    }
+  }
+
+  private void put(String key, ObjectNode value) {
+    state.commit(
+        new StateClient.Txn()
+            .when(cache.election().leaderKey(), leadership.ownerMark())
+            .put(key, value),
+        Use.SUBMISSION,
+        r -> {});
+  }
+}
--- a/src/main/java/graderelay/service/Node.java
+++ b/src/main/java/graderelay/service/Node.java
@@ -2,11 +2,13 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import graderelay.api.AdminApi;
+import graderelay.api.FeaturesApi;
 import graderelay.api.MeshApi;
 import graderelay.api.UserApi;
 import graderelay.cloud.CloudClient;
 import graderelay.config.Logs;
 import graderelay.config.OperatorSettings;
+import graderelay.config.Options;
 import graderelay.config.Settings;
 import graderelay.constants.Constants;
 import graderelay.core.MachineType;
@@ -14,6 +16,7 @@
 import graderelay.core.Report;
 import graderelay.core.SliceKey;
 import graderelay.core.WorkerCommand;
+import graderelay.features.FeatureGate;
 import graderelay.mesh.MeshClient;
 import graderelay.mesh.RequestHedger;
 import graderelay.net.Exchange;
@@ -34,6 +37,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
@@ -64,14 +68,23 @@
   private OperatorSettings operators;
   private final Metrics metrics;
   private final AdminApi admin;
+  private final FeatureGate gate;
+  private final FeatureDuty features;
+  private final FeaturesApi featuresApi;
   private List<MachineType> types;
   private FleetController fleetController;
   private Loop.Timer typesTimer;
   private Loop.Timer tickTimer;
   private boolean closed;
 
+  /** A controller for which everything that options switch on is off. */
   public Node(Loop loop, Transport transport, Settings s, RandomGenerator random) {
+    this(loop, transport, s, Options.none(), random);
+  }
+
+  public Node(Loop loop, Transport transport, Settings s, Options options, RandomGenerator random) {
     this.loop = loop;
+    this.gate = new FeatureGate(options.supported());
     this.settings = s;
     this.random = random;
     String level = System.getenv("LOG_LEVEL");
@@ -87,8 +100,8 @@
             s.stateChangesPerS(),
             s.least().changesPerS(),
             s.peers().size());
-    this.cache = new Cache(loop, state, new Changes());
-    this.mesh = new MeshClient(transport, s.peers());
+    this.cache = new Cache(loop, state, gate, new Changes());
+    this.mesh = new MeshClient(transport, s.peers(), gate);
     this.cancellations = new Cancellations(loop, cache, s);
     cancellations.listen(this::onCancelled);
     this.leadership =
@@ -134,9 +147,17 @@
             this::ready);
     this.requestHedger =
         new RequestHedger(loop, mesh, state::stuck, leadership::awayForAll, this::mayAnswer);
+    String incarnation = leadership.process();
+    this.features = new FeatureDuty(loop, state, cache, leadership, mesh, s, options, incarnation);
+    this.featuresApi =
+        new FeaturesApi(
+            s.member(), cache, features.coordinator(), leadership::owner, admin::atLeader);
     this.meshApi =
         new MeshApi(
             leadership,
+            cache.features(),
+            () -> cache.catchUp(ok -> {}),
+            incarnation,
             state,
             cancellations,
             reports::relayed,
@@ -178,13 +199,23 @@
     metrics.gauge("graderelay.connections", Tags.of("direction", "out"), m -> out.getAsInt());
   }
 
+  /** Hears why this process has to end, if the cluster has gone on without it. */
+  public void onLeave(Consumer<String> listener) {
+    features.onLeave(listener);
+  }
+
   public void start() {
     LOG.info("{} starts in zone {}", settings.member(), settings.zone());
     metrics.bucket("state requests", state.requestTokens());
     metrics.bucket("state changes", state.changeTokens());
     metrics.bucket("cloud", cloud.tokens());
     metrics.start();
+    metrics.gauge(
+        "graderelay.feature.level", Tags.of("what", "finalized"), m -> gate.current().level());
+    metrics.gauge(
+        "graderelay.feature.level", Tags.of("what", "supported"), m -> gate.supported().max());
     cache.start();
+    features.start();
     readTypes();
     leaseDelegate.start();
     tick();
@@ -197,6 +228,7 @@
       fleetController.close();
     }
     leaseDelegate.close();
+    features.close();
     leadership.close();
     metrics.close();
     cache.close();
@@ -238,6 +270,9 @@
 
   /** True if this node can take requests. */
   public boolean ready() {
+    if (gate.isShut()) {
+      return false;
+    }
     boolean here =
         cache.loaded() && types != null && loop.now() - state.lastOk() < Constants.READY_S;
     // While the state service refuses us alone, a peer decides what we are asked; while it is away
@@ -294,7 +329,7 @@
       } else if (ready()) {
         e.to().accept(Answer.json(200, Json.write(Json.object().put("ready", true))));
       } else {
-        UserApi.unavailable(e, "not ready");
+        UserApi.unavailable(e, gate.isShut() ? gate.closedBecause() : "not ready");
       }
     } else if (path.equals("/checkin")) {
       if (post) {
@@ -308,8 +343,12 @@
       } else {
         wrongMethod(e);
       }
+    } else if (FeaturesApi.owns(path)) {
+      featuresApi.handle(e);
     } else if (AdminApi.owns(path)) {
       admin.handle(e);
+    } else if (gate.isShut()) {
+      UserApi.unavailable(e, gate.closedBecause());
     } else if (post && path.equals(JOBS) && submissionsWaitHere()) {
       requestHedger.handleElsewhere(e, this::handleHere);
     } else {
@@ -339,8 +378,12 @@
 
   /** What another controller passes on. */
   private void handleRelayed(Exchange e) {
-    if (AdminApi.owns(e.path())) {
+    if (FeaturesApi.owns(e.path())) {
+      featuresApi.handle(e);
+    } else if (AdminApi.owns(e.path())) {
       admin.handle(e);
+    } else if (gate.isShut()) {
+      UserApi.unavailable(e, gate.closedBecause());
     } else {
       handleHere(e);
     }
@@ -434,6 +477,13 @@
           });
     }
 
+    @Override
+    public void onTermRaised(long term) {
+      if (fleetController != null) {
+        fleetController.onTermRaised(term);
+      }
+    }
+
     @Override
     public void onLost(String why) {
       if (fleetController != null) {
@@ -481,6 +531,7 @@
 
     @Override
     public void onOwner() {
+      features.look();
       leadership.consider();
     }
 
--- a/src/main/java/graderelay/state/Cache.java
+++ b/src/main/java/graderelay/state/Cache.java
@@ -5,8 +5,11 @@
 import graderelay.core.JobSpec;
 import graderelay.core.SliceKey;
 import graderelay.core.SliceRecord;
+import graderelay.features.Feature;
+import graderelay.features.FeatureGate;
 import graderelay.net.Loop;
 import graderelay.net.TokenBucket.Use;
+import graderelay.wire.FeatureCodec;
 import graderelay.wire.StateCodec;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -83,12 +86,11 @@
         }
       };
 
-  private StateCodec.Owner owner;
-  private long ownerMark;
-  private long term;
-  private long termMark;
-  private String termMember = "";
-  private final Map<String, StateCodec.Bar> bars = new HashMap<>();
+  private final FeatureRecords features;
+  private final ElectionRecords election;
+
+  /** Something that {@link Listener#onOwner} tells of has changed in the batch at hand. */
+  private boolean ownerChanged;
 
   /** Everything that had committed before this time has been seen. */
   private double sureAt = Double.NEGATIVE_INFINITY;
@@ -98,6 +100,7 @@
 
   private JsonNode demand;
   private final Map<String, JsonNode> images = new HashMap<>();
+  private final Map<String, JsonNode> compactHints = new HashMap<>();
   private JsonNode settings;
   private long settingsMark;
   private long revision;
@@ -118,10 +121,27 @@
   private double lastCatch = Double.NEGATIVE_INFINITY;
   private double lastWatch = Double.NEGATIVE_INFINITY;
 
-  public Cache(Loop loop, StateClient state, Listener listener) {
+  /**
+   * Makes the copy; every transaction of {@code state} is conditioned on the feature level that it
+   * shows.
+   */
+  public Cache(Loop loop, StateClient state, FeatureGate gate, Listener listener) {
     this.loop = loop;
     this.state = state;
     this.listener = listener;
+    this.features = new FeatureRecords(gate);
+    this.election = new ElectionRecords(features);
+    state.fenceBy(FeatureCodec.LEVEL, features::levelRevision);
+  }
+
+  /** What is stored of feature levels. */
+  public FeatureRecords features() {
+    return features;
+  }
+
+  /** What is stored of leader, term and suspensions. */
+  public ElectionRecords election() {
+    return election;
   }
 
   public boolean loaded() {
@@ -155,30 +175,22 @@
     ends.put(id, e);
   }
 
+  /** Who leads, or null. */
   public StateCodec.Owner owner() {
-    return owner;
+    return election.leader();
   }
 
   public long ownerMark() {
-    return ownerMark;
+    return election.leaderRevision();
   }
 
   public long term() {
-    return term;
-  }
-
-  /** Who won the last term. */
-  public String termMember() {
-    return termMember;
+    return election.term();
   }
 
-  public long termMark() {
-    return termMark;
-  }
-
-  /** The bar on a controller, or null. */
+  /** The suspension of a controller, or null. */
   public StateCodec.Bar bar(String member) {
-    return bars.get(member);
+    return election.suspension(member);
   }
 
   /** What had committed before this time is in the copy. */
@@ -206,6 +218,11 @@
     return images;
   }
 
+  /** What the last owner kept of either in the compact form, by key. */
+  public Map<String, JsonNode> compactHints() {
+    return compactHints;
+  }
+
   public JsonNode settings() {
     return settings;
   }
@@ -249,8 +266,7 @@
 
   private void loadNext(String[] prefixes, int i, List<List<JsonNode>> got) {
     if (i == prefixes.length) {
-      loading = false;
-      take(got);
+      loadHints(got);
       return;
     }
     state.list(
@@ -270,6 +286,27 @@
         });
   }
 
+  /** Below its level there are none in the compact form. */
+  private void loadHints(List<List<JsonNode>> got) {
+    if (!features.gate().present(Feature.COMPACT_HINTS)) {
+      loading = false;
+      take(got);
+      return;
+    }
+    state.list(
+        FeatureCodec.HINTS,
+        Use.CLAIM,
+        pages -> {
+          loading = false;
+          if (pages == null) {
+            loop.after(Constants.STATE_RETRY_S, this::load);
+          } else {
+            got.add(pages);
+            take(got);
+          }
+        });
+  }
+
   /**
    * Who owns the fleet and with which term is known before all else, so that a node that nobody is
    * before can win a term, and keep workers' leases alive, while it still reads the records.
@@ -277,7 +314,9 @@
   private void learnHead(List<List<JsonNode>> lists) {
     revision = lists.get(0).get(0).path("ledger").asLong();
     lists.forEach(this::putAll);
+    features.read();
     headKnown = true;
+    ownerChanged = false;
     listener.onOwner();
   }
 
@@ -295,11 +334,9 @@
       removeJob(id, Long.MAX_VALUE);
     }
     loose.clear();
-    if (watched) {
-      owner = null;
-      ownerMark = 0;
-    }
-    bars.clear();
+    election.clear(watched);
+    features.clear();
+    compactHints.clear();
     revision = lists.get(0).get(0).path("ledger").asLong();
     lists.forEach(this::putAll);
     // What changed while the pages were read comes with the first catch-up.
@@ -419,6 +456,11 @@
       }
     }
     revision = Math.max(revision, upTo);
+    // A change of the leader's record may come with one of the level that says where it stands.
+    if (ownerChanged && loaded) {
+      ownerChanged = false;
+      listener.onOwner();
+    }
   }
 
   private void put(String key, JsonNode value, long mark) {
@@ -430,22 +472,14 @@
       String id = key.substring(StateCodec.ENDS.length());
       ends.put(id, endOf(value));
       listener.onEnd(id, ends.get(id));
-    } else if (key.equals(StateCodec.OWNER) && mark > ownerMark) {
-      owner = StateCodec.owner(value);
-      ownerMark = mark;
-      told(listener::onOwner);
-    } else if (key.equals(StateCodec.TERM) && mark > termMark) {
-      term = value.path("term").asLong();
-      termMember = value.path("member").asText();
-      termMark = mark;
+    } else if (features.put(key, value, mark) || election.put(key, value, mark)) {
+      ownerChanged = true;
     } else if (key.equals(StateCodec.DEMAND)) {
       demand = value;
     } else if (key.startsWith(StateCodec.IMAGES)) {
       images.put(key, value);
-    } else if (key.startsWith(StateCodec.BARS)) {
-      bars.put(
-          key.substring(StateCodec.BARS.length()),
-          new StateCodec.Bar(value.path("leaving").asText(), mark));
+    } else if (key.startsWith(FeatureCodec.HINTS)) {
+      compactHints.put(key, value);
     } else if (key.startsWith(StateCodec.DEPUTIES)) {
       listener.onDeputyFree(key.substring(StateCodec.DEPUTIES.length()), value);
     } else if (key.equals(StateCodec.SETTINGS) && mark > settingsMark) {
@@ -519,12 +553,14 @@
         }
         listener.onSliceGone(k);
       }
-    } else if (key.startsWith(StateCodec.BARS)) {
-      bars.remove(key.substring(StateCodec.BARS.length()));
-    } else if (key.equals(StateCodec.OWNER) && mark > ownerMark) {
-      owner = null;
-      ownerMark = 0;
-      told(listener::onOwner);
+    } else if (features.drop(key, mark) || election.drop(key, mark)) {
+      ownerChanged = true;
+    } else if (key.startsWith(StateCodec.IMAGES)) {
+      images.remove(key);
+    } else if (key.equals(StateCodec.DEMAND)) {
+      demand = null;
+    } else if (key.startsWith(FeatureCodec.HINTS)) {
+      compactHints.remove(key);
     }
   }
 
--- /dev/null
+++ b/src/main/java/graderelay/state/FeatureRecords.java
@@ -0,0 +1,127 @@
+package graderelay.state;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import graderelay.features.ClusterLevel;
+import graderelay.features.Feature;
+import graderelay.features.FeatureGate;
+import graderelay.features.Member;
+import graderelay.wire.FeatureCodec;
+import graderelay.wire.MalformedRecord;
+import java.util.HashMap;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** This node's copy of the records of feature levels; it tells the gate what they say. */
+public final class FeatureRecords {
+  private static final Logger LOG = LoggerFactory.getLogger("features");
+
+  private final FeatureGate gate;
+  private long levelRevision;
+  private long holdRevision;
+  private final Map<String, Member> members = new HashMap<>();
+  private final Map<String, Long> memberRevisions = new HashMap<>();
+
+  FeatureRecords(FeatureGate gate) {
+    this.gate = gate;
+  }
+
+  public FeatureGate gate() {
+    return gate;
+  }
+
+  /** The revision of the level's record, 0 if there is none: the condition of transactions. */
+  public long levelRevision() {
+    return levelRevision;
+  }
+
+  public boolean held() {
+    return holdRevision != 0;
+  }
+
+  public long holdRevision() {
+    return holdRevision;
+  }
+
+  /** What controllers have published in a form that can be read, by name. */
+  public Map<String, Member> members() {
+    return Map.copyOf(members);
+  }
+
+  /** The revision of a controller's record, 0 if there is none. */
+  public long memberRevision(String member) {
+    return memberRevisions.getOrDefault(member, 0L);
+  }
+
+  /** Before the records are read anew. The level is never removed, so it stays. */
+  void clear() {
+    members.clear();
+    memberRevisions.clear();
+    holdRevision = 0;
+  }
+
+  /** All records were read once; without a record of a level it is the one before all others. */
+  void read() {
+    if (levelRevision == 0) {
+      gate.onLevel(ClusterLevel.BASE);
+    }
+  }
+
+  boolean put(String key, JsonNode value, long revision) {
+    if (key.equals(FeatureCodec.LEVEL)) {
+      putLevel(value, revision);
+    } else if (key.equals(FeatureCodec.HOLD)) {
+      holdRevision = Math.max(holdRevision, revision);
+    } else if (key.startsWith(FeatureCodec.MEMBERS)) {
+      putMember(key.substring(FeatureCodec.MEMBERS.length()), value, revision);
+    } else {
+      return false;
+    }
+    return true;
+  }
+
+  private void putLevel(JsonNode value, long revision) {
+    if (revision <= levelRevision) {
+      return;
+    }
+    levelRevision = revision;
+    try {
+      gate.onLevel(FeatureCodec.level(value));
+    } catch (MalformedRecord e) {
+      gate.onMalformed(e.getMessage());
+    }
+  }
+
+  private void putMember(String name, JsonNode value, long revision) {
+    if (revision <= memberRevision(name)) {
+      return;
+    }
+    memberRevisions.put(name, revision);
+    try {
+      members.put(name, FeatureCodec.member(name, value, revision));
+    } catch (MalformedRecord e) {
+      members.remove(name); // It counts as of a version before feature levels.
+      LOG.warn("what {} has published can't be read: {}", name, e.getMessage());
+    }
+  }
+
+  boolean drop(String key, long revision) {
+    if (key.equals(FeatureCodec.HOLD)) {
+      holdRevision = revision > holdRevision ? 0 : holdRevision;
+    } else if (key.startsWith(FeatureCodec.MEMBERS)) {
+      String name = key.substring(FeatureCodec.MEMBERS.length());
+      if (revision > memberRevision(name)) {
+        members.remove(name);
+        memberRevisions.remove(name);
+      }
+    } else {
+      return false;
+    }
+    return true;
+  }
+
+  /** True if elections are recorded under the keys that older versions never read. */
+  boolean sealed() {
+    return gate.present(Feature.SEALED_ELECTION);
+  }
+}
--- a/src/main/java/graderelay/state/FinalStateLookup.java
+++ b/src/main/java/graderelay/state/FinalStateLookup.java
@@ -1,7 +1,6 @@
 package graderelay.state;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import graderelay.constants.Constants;
 import graderelay.net.Loop;
 import graderelay.net.TokenBucket.Use;
 import graderelay.state.StateClient.How;
@@ -47,7 +46,7 @@
     this.loop = loop;
     this.state = state;
     this.cache = cache;
-    this.most = Math.max(1, txnOps * Constants.CONDITIONS_PER_OP);
+    this.most = StateClient.mostConditions(txnOps);
   }
 
   /** Calls back once everything that had committed before this call has been looked at. */
@@ -95,7 +94,10 @@
   private void sort(Map<String, List<Consumer<Found>>> asked, JsonNode failed) {
     Set<String> there = new HashSet<>();
     for (JsonNode key : failed) {
-      there.add(key.asText().substring(StateCodec.ENDS.length()));
+      // It may also be the fence: then nothing is known, and all are asked again.
+      if (key.asText().startsWith(StateCodec.ENDS)) {
+        there.add(key.asText().substring(StateCodec.ENDS.length()));
+      }
     }
     Map<String, List<Consumer<Found>>> before = waiting;
     waiting = new LinkedHashMap<>();
--- a/src/main/java/graderelay/state/Leadership.java
+++ b/src/main/java/graderelay/state/Leadership.java
@@ -30,6 +30,9 @@
   public interface Listener {
     void onWon(long term);
 
+    /** The term of this leader is higher than before. */
+    void onTermRaised(long term);
+
     void onLost(String why);
   }
 
@@ -126,6 +129,11 @@
     this.notBefore = loop.now() + Constants.PROMISE_S * (1 + Constants.DRIFT);
   }
 
+  /** Tells this process from earlier and later ones of the same controller. */
+  public String process() {
+    return self;
+  }
+
   public boolean owner() {
     return owner;
   }
@@ -135,7 +143,12 @@
    * promised not to take over meanwhile, since nobody else could.
    */
   public boolean entitled() {
-    return owner && (loop.now() < heldUntil || loop.now() < promisedUntil());
+    return owner && mayLead() && (loop.now() < heldUntil || loop.now() < promisedUntil());
+  }
+
+  /** True if this program supports the cluster's feature level. */
+  private boolean mayLead() {
+    return cache.features().gate().isOpen();
   }
 
   private double promisedUntil() {
@@ -238,9 +251,11 @@
     if (changing || !cache.loaded() || loop.now() > heldUntil || loop.now() < wonAt + 1) {
       return;
     }
-    String key = StateCodec.barKey(peer);
+    String key = cache.election().suspensionKey(peer);
     StateClient.Txn txn =
-        new StateClient.Txn().when(StateCodec.OWNER, ownerMark).when(key, b == null ? 0 : b.mark());
+        new StateClient.Txn()
+            .when(cache.election().leaderKey(), ownerMark)
+            .when(key, b == null ? 0 : b.mark());
     if (b != null && hears(peer)) {
       lifting.add(peer); // Not counted on from now, whenever the record goes.
       txn.drop(key);
@@ -298,10 +313,10 @@
     }
     leftAt = Double.NaN;
     trying = true;
-    String key = StateCodec.barKey(member);
+    String key = cache.election().suspensionKey(member);
     state.commit(
         new StateClient.Txn()
-            .when(StateCodec.OWNER, 0)
+            .when(cache.election().leaderKey(), 0)
             .when(key, b.mark())
             .put(key, StateCodec.bar(self)),
         Use.RENEWAL,
@@ -403,9 +418,13 @@
     if (closed || !cache.headKnown()) {
       return;
     }
+    if (!mayLead()) {
+      resign(cache.features().gate().closedBecause());
+      return;
+    }
     StateCodec.Owner o = cache.owner();
     if (owner) {
-      if (o == null && cache.revisionSeen() > ownerMark) {
+      if (o == null && cache.revisionSeen() > ownerMark && !raising) {
         lose("the owner record is gone");
       } else if (o != null && cache.ownerMark() > ownerMark && !raising) {
         lose(o.member() + " owns the fleet with term " + o.term());
@@ -421,7 +440,7 @@
       // Our own earlier process, which is dead: nobody else runs under our name.
       trying = true;
       state.get(
-          StateCodec.OWNER,
+          cache.election().leaderKey(),
           Use.RENEWAL,
           r -> {
             trying = false;
@@ -472,7 +491,10 @@
    * no owner and none can come meanwhile, and what runs is only kept from dying: no order is given.
    */
   public boolean keeping() {
-    return !owner && stateAway() && loop.now() < earliest(keepPromised);
+    return !owner
+        && !cache.features().gate().isShut()
+        && stateAway()
+        && loop.now() < earliest(keepPromised);
   }
 
   /** Notes whether a peer that answers reaches the state service itself. */
@@ -551,8 +573,8 @@
   private void take() {
     // If the last owner was an earlier process of ours, nobody else can rely on a promise. The
     // transaction is conditioned on the term record that says so.
-    boolean ours = member.equals(cache.termMember());
-    if (cache.owner() != null) {
+    boolean ours = member.equals(cache.election().termMember());
+    if (cache.owner() != null || !mayLead()) {
       return;
     }
     double barred = barredUntil(ours) - loop.now();
@@ -589,13 +611,13 @@
     }
     StateClient.Txn txn =
         new StateClient.Txn()
-            .when(StateCodec.OWNER, 0)
-            .when(StateCodec.TERM, cache.termMark())
-            .when(StateCodec.barKey(member), bar == null ? 0 : bar.mark())
+            .when(cache.election().leaderKey(), 0)
+            .when(StateCodec.TERM, cache.election().termRevision())
+            .when(cache.election().suspensionKey(member), bar == null ? 0 : bar.mark())
             .put(StateCodec.TERM, StateCodec.term(newTerm, member))
-            .put(StateCodec.OWNER, StateCodec.owner(me), newHold);
+            .put(cache.election().leaderKey(), StateCodec.owner(me), newHold);
     if (bar != null) {
-      txn.drop(StateCodec.barKey(member));
+      txn.drop(cache.election().suspensionKey(member));
     }
     state.commit(
         txn,
@@ -621,7 +643,7 @@
       return;
     }
     state.get(
-        StateCodec.OWNER,
+        cache.election().leaderKey(),
         Use.RENEWAL,
         r -> {
           if (r.done()) {
@@ -723,32 +745,63 @@
     StateCodec.Owner me = new StateCodec.Owner(member, newTerm, address);
     StateClient.Txn txn =
         new StateClient.Txn()
-            .when(StateCodec.OWNER, ownerMark)
-            .when(StateCodec.TERM, cache.termMark())
+            .when(cache.election().leaderKey(), ownerMark)
+            .when(StateCodec.TERM, cache.election().termRevision())
             .put(StateCodec.TERM, StateCodec.term(newTerm, member))
-            .put(StateCodec.OWNER, StateCodec.owner(me), hold);
-    state.commit(txn, Use.RENEWAL, r -> raised(newTerm, r, done));
+            .put(cache.election().leaderKey(), StateCodec.owner(me), hold);
+    state.commit(
+        txn,
+        Use.RENEWAL,
+        r -> {
+          raised(newTerm, r);
+          done.accept(r.done() ? newTerm : 0L);
+        });
   }
 
-  private void raised(long newTerm, StateClient.Result r, Consumer<Long> done) {
+  private void raised(long newTerm, StateClient.Result r) {
+    raising = false;
     if (r.done()) {
-      raising = false;
       term = newTerm;
       ownerMark = r.revision();
       LOG.info("raised the term to {}", term);
-      done.accept(term);
     } else if (r.how() == StateClient.How.UNKNOWN) {
       // Whether it committed decides under which mark we may write: rather start over.
-      raising = false;
-      done.accept(0L);
       resign("a raise of the term had no answer");
     } else {
-      raising = false;
-      done.accept(0L);
       cache.catchUp(ok -> consider());
     }
   }
 
+  /** Changes the cluster's feature level, and raises our term with it. */
+  public void changeLevel(LevelChange change, Consumer<StateClient.How> done) {
+    boolean busy = raising || changing || trying;
+    if (!entitled() || busy || change.mustWait(cache.features(), cache.election())) {
+      done.accept(StateClient.How.NOT_EXECUTED);
+      return;
+    }
+    if (!change.fits()) {
+      LOG.error("the state service's transactions are too small to change the feature level");
+      done.accept(StateClient.How.NOT_EXECUTED);
+      return;
+    }
+    raising = true;
+    long newTerm = term + 1;
+    StateCodec.Owner me = new StateCodec.Owner(member, newTerm, address);
+    StateClient.Txn txn =
+        change.transaction(cache.features(), cache.election(), me, ownerMark, hold);
+    state.commit(
+        txn,
+        Use.RENEWAL,
+        r -> {
+          raised(newTerm, r);
+          if (r.done()) {
+            // Before that our own transactions would be conditioned on the level of before.
+            cache.catchUp(ok -> listener.onTermRaised(newTerm));
+          }
+          done.accept(r.how());
+        });
+  }
+
   /** Gives the fleet up at once and lets the record go. */
   public void resign(String why) {
     if (!owner) {
--- /dev/null
+++ b/src/main/java/graderelay/state/LevelChange.java
@@ -0,0 +1,80 @@
+package graderelay.state;
+
+import graderelay.features.ClusterLevel;
+import graderelay.features.Feature;
+import graderelay.features.Member;
+import graderelay.wire.FeatureCodec;
+import graderelay.wire.StateCodec;
+import java.util.Collection;
+import java.util.List;
+
+/**
+ * A change of the cluster's feature level.
+ *
+ * @param to the level to come
+ * @param unchanged records of members that must be as they were read
+ * @param members all configured controllers
+ * @param mostChanges puts and deletes that one transaction may have
+ */
+public record LevelChange(
+    ClusterLevel to, Collection<Member> unchanged, List<String> members, int mostChanges) {
+  /** Changes that the largest of these transactions has in any case. */
+  private static final int LEAST_CHANGES = 4;
+
+  /** Conditions beside those on members: leader, term and the fence. */
+  private static final int OTHER_CONDITIONS = 3;
+
+  /** True if the state service takes such a transaction. */
+  boolean fits() {
+    return mostChanges >= LEAST_CHANGES
+        && unchanged.size() + OTHER_CONDITIONS <= StateClient.mostConditions(mostChanges) + 1;
+  }
+
+  /** True if the elections go back to the open layout. */
+  private boolean unseals(FeatureRecords features) {
+    return features.sealed() && !to.has(Feature.SEALED_ELECTION);
+  }
+
+  /** A suspension has no place in the other layout; the leader lifts it once it hears its peer. */
+  boolean mustWait(FeatureRecords features, ElectionRecords election) {
+    return unseals(features) && election.anySuspended();
+  }
+
+  /**
+   * The transaction, with the leader's record where the new level has it and under a new term: what
+   * workers are told under the old one is refused from then on.
+   */
+  StateClient.Txn transaction(
+      FeatureRecords features,
+      ElectionRecords election,
+      StateCodec.Owner leader,
+      long leaderRevision,
+      long sessionLease) {
+    StateClient.Txn txn =
+        new StateClient.Txn()
+            .when(election.leaderKey(), leaderRevision)
+            .when(StateCodec.TERM, election.termRevision())
+            .put(FeatureCodec.LEVEL, FeatureCodec.level(to))
+            .put(StateCodec.TERM, StateCodec.term(leader.term(), leader.member()));
+    unchanged.forEach(m -> txn.when(FeatureCodec.memberKey(m.name()), m.revision()));
+    if (unseals(features)) {
+      txn.put(StateCodec.OWNER, StateCodec.owner(leader), sessionLease).drop(FeatureCodec.LEADER);
+    } else if (features.sealed() || !to.has(Feature.SEALED_ELECTION)) {
+      txn.put(election.leaderKey(), StateCodec.owner(leader), sessionLease);
+    } else {
+      seal(txn, leader, sessionLease);
+    }
+    return txn;
+  }
+
+  private void seal(StateClient.Txn txn, StateCodec.Owner leader, long sessionLease) {
+    txn.put(FeatureCodec.LEADER, StateCodec.owner(leader), sessionLease);
+    // On no lease: it stays, and nobody who needs it gone wins an election any more.
+    StateCodec.Owner nobody = new StateCodec.Owner(FeatureCodec.SEALED_OWNER, leader.term(), "");
+    txn.put(StateCodec.OWNER, StateCodec.owner(nobody));
+    int left = mostChanges - LEAST_CHANGES;
+    for (String member : members.subList(0, Math.min(left, members.size()))) {
+      txn.put(StateCodec.barKey(member), StateCodec.bar(""));
+    }
+  }
+}
--- a/src/main/java/graderelay/state/StateClient.java
+++ b/src/main/java/graderelay/state/StateClient.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 /** Speaks the state service's protocol, within this node's share of its rates. */
 public final class StateClient {
@@ -96,6 +97,8 @@
   private final Map<Long, Double> unanswered = new LinkedHashMap<>();
 
   private long nextCall;
+  private String fenceKey;
+  private LongSupplier fenceRevision;
   private boolean owner;
   private double taken;
   private double borrowedUntil;
@@ -259,7 +262,25 @@
         });
   }
 
+  /**
+   * From now on every transaction is conditioned on the revision that a key has when it is made.
+   * The condition takes no change, and one place of those that a transaction may have.
+   */
+  void fenceBy(String key, LongSupplier revision) {
+    fenceKey = key;
+    fenceRevision = revision;
+  }
+
+  /** Conditions that a transaction may have beside the fence. */
+  static int mostConditions(int txnOps) {
+    return Math.max(1, txnOps * Constants.CONDITIONS_PER_OP - 1);
+  }
+
   public void commit(Txn txn, Use use, Consumer<Result> done) {
+    if (fenceKey != null) {
+      // Now, and not when there are tokens: this is the level that the transaction was made for.
+      txn.when(fenceKey, fenceRevision.getAsLong());
+    }
     ObjectNode body = Json.object();
     body.set("if", txn.conditions);
     if (!txn.changes.isEmpty()) {
--- /dev/null
+++ b/src/main/java/graderelay/wire/FeatureCodec.java
@@ -0,0 +1,102 @@
+package graderelay.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import graderelay.features.ClusterLevel;
+import graderelay.features.Feature;
+import graderelay.features.FeatureRange;
+import graderelay.features.Member;
+
+/**
+ * The records of feature levels and their keys. They stand below {@link StateCodec#TERM}, a prefix
+ * that every version lists first, so that they cost no further request at a start. Versions before
+ * feature levels pass over them there and in a watch, and never write them.
+ */
+public final class FeatureCodec {
+  /** Everything about feature levels. */
+  public static final String ROOT = "g/term/feature/";
+
+  /** The cluster's finalized level; without it the level is {@link Feature#BASE_LEVEL}. */
+  public static final String LEVEL = "g/term/feature/level";
+
+  /** Present while operators want the cluster to stay at its level. */
+  public static final String HOLD = "g/term/feature/hold";
+
+  /** What each controller has published of itself. */
+  public static final String MEMBERS = "g/term/feature/member/";
+
+  /** Who leads, in place of {@link StateCodec#OWNER}, once elections are sealed. */
+  public static final String LEADER = "g/term/feature/leader";
+
+  /** Suspended controllers, in place of {@link StateCodec#BARS}, once elections are sealed. */
+  public static final String SUSPENSIONS = "g/term/feature/suspension/";
+
+  /** Hints for the next leader in their compact form. */
+  public static final String HINTS = "g/hints/";
+
+  /** The images on machines, in their compact form. */
+  public static final String IMAGE_HINTS = "g/hints/images/";
+
+  /** The recent demand, in its compact form. */
+  public static final String DEMAND_HINT = "g/hints/demand";
+
+  /** Stands in {@link StateCodec#OWNER} once elections are sealed; no controller is called so. */
+  public static final String SEALED_OWNER = "sealed:feature-levels";
+
+  private static final int LONGEST_TEXT = 128;
+
+  private FeatureCodec() {}
+
+  public static ObjectNode level(ClusterLevel l) {
+    ObjectNode n = Json.object().put("level", l.level());
+    return l.lowering() ? n.put("target", l.target()) : n;
+  }
+
+  /** Reads the record; a level that this program does not know is no mistake of the record. */
+  public static ClusterLevel level(JsonNode n) throws MalformedRecord {
+    int level = count(n, "level");
+    int target = n.has("target") ? count(n, "target") : level;
+    if (target > level) {
+      throw new MalformedRecord("target is " + target + ", above level " + level);
+    }
+    return new ClusterLevel(level, target);
+  }
+
+  public static String memberKey(String member) {
+    return MEMBERS + member;
+  }
+
+  public static ObjectNode member(Member m) {
+    return Json.object()
+        .put("version", m.version())
+        .put("min", m.range().min())
+        .put("max", m.range().max())
+        .put("incarnation", m.incarnation());
+  }
+
+  public static Member member(String name, JsonNode n, long revision) throws MalformedRecord {
+    int min = count(n, "min");
+    int max = count(n, "max");
+    if (min > max) {
+      throw new MalformedRecord("min is " + min + ", above max " + max);
+    }
+    String incarnation = text(n, "incarnation");
+    return new Member(name, text(n, "version"), new FeatureRange(min, max), incarnation, revision);
+  }
+
+  private static int count(JsonNode n, String field) throws MalformedRecord {
+    JsonNode v = n.path(field);
+    if (!v.isInt() || v.intValue() < Feature.BASE_LEVEL) {
+      throw new MalformedRecord(field + " must be a feature level of at least 0");
+    }
+    return v.intValue();
+  }
+
+  private static String text(JsonNode n, String field) throws MalformedRecord {
+    JsonNode v = n.path(field);
+    if (!v.isTextual() || v.textValue().isEmpty() || v.textValue().length() > LONGEST_TEXT) {
+      throw new MalformedRecord(field + " must be a text of 1 to " + LONGEST_TEXT + " characters");
+    }
+    return v.textValue();
+  }
+}
--- a/src/main/java/graderelay/wire/PeerAnswer.java
+++ b/src/main/java/graderelay/wire/PeerAnswer.java
@@ -34,6 +34,13 @@
   /** Makes the asker a lease delegate under a term, from the leader's time {@code at}. */
   record Grant(long term, long grantedBy, double at) {}
 
+  /**
+   * To {@link PeerRequest.Identify}.
+   *
+   * @param incarnation tells this process from others of the same member
+   */
+  record Identified(String incarnation) implements PeerAnswer {}
+
   /** To a request that was passed on: what its sender is to be told. */
   record Relayed(Answer answer) implements PeerAnswer {}
 }
--- a/src/main/java/graderelay/wire/PeerCodec.java
+++ b/src/main/java/graderelay/wire/PeerCodec.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import graderelay.core.CancellationKnowledge;
+import graderelay.features.Feature;
 import graderelay.net.Exchange.Answer;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -23,6 +24,9 @@
   private static final String REPORT = "report";
   private static final String USER = "user";
   private static final String ADMIN = "admin";
+  private static final String IDENTIFY = "identify";
+  private static final String INCARNATION = "incarnation";
+  private static final String LEVEL = "level";
   private static final String GRANTED = "granted";
   private static final String CANCELLATIONS = "cancellations";
 
@@ -30,9 +34,27 @@
 
   // ---------------------------------------------------------------- requests
 
-  /** The bytes of a request. */
+  /** The bytes of a request in a cluster below the first feature level. */
   public static byte[] encode(PeerRequest request) {
-    return Json.writeCbor(tree(request));
+    return encode(request, Feature.BASE_LEVEL);
+  }
+
+  /**
+   * The bytes of a request. A cluster below the first feature level sends just what versions before
+   * feature levels do.
+   */
+  public static byte[] encode(PeerRequest request, int featureLevel) {
+    ObjectNode n = tree(request);
+    if (featureLevel > Feature.BASE_LEVEL) {
+      n.put(LEVEL, featureLevel);
+    }
+    return Json.writeCbor(n);
+  }
+
+  /** The feature level that the sender of these bytes knows to be the cluster's. */
+  public static int featureLevel(byte[] bytes) {
+    JsonNode n = Json.readCbor(bytes);
+    return n == null ? Feature.BASE_LEVEL : n.path(LEVEL).asInt(Feature.BASE_LEVEL);
   }
 
   private static ObjectNode tree(PeerRequest request) {
@@ -57,6 +79,8 @@
     } else if (request instanceof PeerRequest.UserRequest u) {
       n.put(KIND, USER).put("method", u.method());
       return n.put("path", u.path()).put("body", u.body());
+    } else if (request instanceof PeerRequest.Identify i) {
+      return n.put(KIND, IDENTIFY).put("member", i.member());
     } else if (request instanceof PeerRequest.AdminRequest a) {
       n.put(KIND, ADMIN).put("method", a.method());
       return n.put("path", a.path()).put("body", a.body()).put("query", a.query());
@@ -88,6 +112,7 @@
               n.path("of").asLong(),
               n.path("echo").asDouble(),
               n.path("alone").asDouble());
+      case IDENTIFY -> new PeerRequest.Identify(member);
       case REPORT -> new PeerRequest.RelayedReport(member, body(n));
       case USER -> new PeerRequest.UserRequest(method, path, body(n));
       case ADMIN -> new PeerRequest.AdminRequest(method, path, n.path("query").asText(), body(n));
@@ -117,6 +142,8 @@
         n.put("of", d.grant().grantedBy()).put("at", d.grant().at());
       }
       return with(n, d.cancellations());
+    } else if (answer instanceof PeerAnswer.Identified i) {
+      return n.put(INCARNATION, i.incarnation());
     } else if (answer instanceof PeerAnswer.Relayed r) {
       Answer a = r.answer();
       return n.put("status", a.status()).put("body", a.body()).put("retry", a.retryAfterS());
@@ -149,6 +176,14 @@
     return n == null ? null : new PeerAnswer.Wanted(n.path("wanted").asDouble());
   }
 
+  /** The answer to the question for a process, or null if these bytes are none. */
+  public static PeerAnswer.Identified identified(byte[] bytes) {
+    JsonNode n = Json.readCbor(bytes);
+    return n == null || !n.path(INCARNATION).isTextual()
+        ? null
+        : new PeerAnswer.Identified(n.get(INCARNATION).asText());
+  }
+
   /** The answer to a handover, or null if these bytes are none. */
   public static PeerAnswer.Received received(byte[] bytes) {
     return Json.readCbor(bytes) == null ? null : new PeerAnswer.Received();
--- a/src/main/java/graderelay/wire/PeerRequest.java
+++ b/src/main/java/graderelay/wire/PeerRequest.java
@@ -27,6 +27,9 @@
       String member, String process, long number, long grantedBy, double echo, double aloneS)
       implements PeerRequest {}
 
+  /** The leader asks which process a controller is. */
+  record Identify(String member) implements PeerRequest {}
+
   /** Passes on a worker's report that came to this member. */
   record RelayedReport(String member, byte[] body) implements PeerRequest {}
 
--- a/src/main/java/graderelay/worker/LeaseDelegate.java
+++ b/src/main/java/graderelay/worker/LeaseDelegate.java
@@ -34,6 +34,7 @@
   private final boolean needed;
   private final String self;
 
+  private double lastTick = Double.NEGATIVE_INFINITY;
   private long asked;
   private long voidUpTo;
   private long term;
@@ -93,8 +94,12 @@
    */
   public boolean answers(Report r) {
     double now = loop.now();
+    // After standing still it may have been replaced, and the cluster may have moved on meanwhile.
+    boolean stoodStill = now - lastTick > Constants.SUSPENDED_S;
     boolean may =
         now < until
+            && !stoodStill
+            && !cache.features().gate().isShut()
             && now > lastContact + Constants.DEPUTY_ALONE_S * (1 + Constants.DRIFT)
             && state.failingFor() > Constants.KEEP_AFTER_S
             && zone.equals(r.zone())
@@ -115,6 +120,10 @@
       return;
     }
     double now = loop.now();
+    if (now - lastTick > Constants.SUSPENDED_S) {
+      until = Double.NEGATIVE_INFINITY;
+    }
+    lastTick = now;
     StateCodec.Owner o = cache.owner();
     String address = o == null ? null : mesh.addressOf(o.member());
     if (leadership.entitled()) {
--- a/src/main/java/graderelay/worker/WorkerApi.java
+++ b/src/main/java/graderelay/worker/WorkerApi.java
@@ -64,6 +64,10 @@
       e.to().accept(Answer.json(400, Json.error("not a report")));
       return;
     }
+    if (cache.features().gate().isShut()) {
+      elsewhere(e.to(), cache.owner() == null ? null : cache.owner().member());
+      return;
+    }
     if (leadership.owner()) {
       answer(r, "", e.to());
       return;
--- a/src/test/java/graderelay/sim/ProductionVersion.java
+++ b/src/test/java/graderelay/sim/ProductionVersion.java
@@ -3,9 +3,13 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import graderelay.net.Exchange;
+import graderelay.net.Exchange.Answer;
 import graderelay.net.Reply;
 import graderelay.net.Transport;
+import graderelay.wire.FeatureCodec;
 import graderelay.wire.Json;
+import graderelay.wire.PeerCodec;
+import graderelay.wire.PeerRequest;
 import graderelay.wire.StateCodec;
 
 /**
@@ -43,12 +47,39 @@
     };
   }
 
+  /** A controller's request as this version understands it. */
+  static void peer(Exchange e, Exchange.Handler handler) {
+    if (PeerCodec.request(e.body()) instanceof PeerRequest.Identify) {
+      e.to().accept(Answer.json(404, Json.error("no such message")));
+    } else {
+      handler.handle(e);
+    }
+  }
+
+  /** This version knows nothing of feature levels: it neither asks for one nor sees any. */
+  private static boolean unknown(String key) {
+    return key.startsWith(FeatureCodec.ROOT) || key.startsWith(FeatureCodec.HINTS);
+  }
+
+  private static void forgetUnknown(JsonNode list, String... names) {
+    for (var it = list.iterator(); it.hasNext(); ) {
+      JsonNode entry = it.next();
+      for (String name : names) {
+        if (unknown(entry.path(name).asText())) {
+          it.remove();
+          break;
+        }
+      }
+    }
+  }
+
   private byte[] written(byte[] body) {
     JsonNode transaction = body == null ? null : Json.read(body);
-    if (transaction == null || !transaction.has("then")) {
+    if (transaction == null || !transaction.has("if")) {
       return body;
     }
-    for (JsonNode change : transaction.get("then")) {
+    forgetUnknown(transaction.path("if"), "key");
+    for (JsonNode change : transaction.path("then")) {
       forget(change.path("put").asText(), change.path("data"));
     }
     return Json.write(transaction);
@@ -59,6 +90,8 @@
     if (answer == null) {
       return reply;
     }
+    forgetUnknown(answer.path("items"), "key");
+    forgetUnknown(answer.path("news"), "put", "drop");
     for (JsonNode item : answer.path("items")) {
       forget(item.path("key").asText(), item.path("data"));
     }
--- a/src/test/java/graderelay/sim/SimWorld.java
+++ b/src/test/java/graderelay/sim/SimWorld.java
@@ -2,9 +2,11 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import graderelay.config.Options;
 import graderelay.config.Settings;
 import graderelay.core.Team;
 import graderelay.net.Exchange;
+import graderelay.net.Loop;
 import graderelay.net.Reply;
 import graderelay.net.Transport;
 import graderelay.service.Node;
@@ -65,6 +67,12 @@
   /** Which controllers start as the version in production, and not as the present one. */
   private final boolean[] production;
 
+  /** What is switched on for each controller from its next start on. */
+  private final Options[] options;
+
+  /** Why controllers of the present version have left, by name. */
+  public final Map<String, String> left = new LinkedHashMap<>();
+
   private final boolean[][] dead;
   private final String[] apis;
   private final Transport users;
@@ -98,7 +106,10 @@
     nodes = new Node[size];
     production = new boolean[size];
     Arrays.fill(production, inProduction);
+    options = new Options[size];
+    Arrays.fill(options, Options.none());
     refused = new boolean[size][1];
+    suspended = new Suspension[size];
     dead = new boolean[size][];
     apis = new String[size];
     for (int i = 0; i < size; i++) {
@@ -174,26 +185,119 @@
     production[i] = false;
   }
 
+  /** From its next start on a controller is of the present version, with these options. */
+  public void replace(int i, Options its) {
+    production[i] = false;
+    options[i] = its;
+  }
+
+  /** From its next start on a controller is of the version in production again. */
+  public void rollBack(int i) {
+    production[i] = true;
+  }
+
+  /** The controller stands still: what comes to it waits, and no timer of it fires. */
+  public void suspend(int i) {
+    rules.log("m-" + i + " is suspended");
+    suspended[i].on = true;
+  }
+
+  /** It goes on, with all that has waited. */
+  public void resume(int i) {
+    rules.log("m-" + i + " goes on");
+    suspended[i].on = false;
+    List<Runnable> waiting = new ArrayList<>(suspended[i].waiting);
+    suspended[i].waiting.clear();
+    waiting.forEach(r -> loop.after(0, r));
+  }
+
+  /** Keeps what a process would do while it stands still. */
+  private static final class Suspension {
+    boolean on;
+    final List<Runnable> waiting = new ArrayList<>();
+
+    void run(Runnable r) {
+      if (on) {
+        waiting.add(() -> run(r));
+      } else {
+        r.run();
+      }
+    }
+  }
+
+  private final Suspension[] suspended;
+
   public void start(int i) {
     boolean[] over = {false};
+    Suspension still = new Suspension();
+    suspended[i] = still;
     dead[i] = over;
     double drift = (random.nextDouble() - 0.5) * 0.001;
-    Transport outside = net.from("c" + i, over);
+    Transport sends = net.from("c" + i, over);
+    Transport outside =
+        (address, method, path, body, timeoutS, done) ->
+            sends.call(address, method, path, body, timeoutS, r -> still.run(() -> done.accept(r)));
     ProductionVersion old = production[i] ? new ProductionVersion(rules) : null;
     Node n =
         new Node(
-            loop.process(drift, over),
+            suspendable(loop.process(drift, over), still),
             old == null ? outside : old.transport(outside, "state" + i + ":1"),
             settings(i),
+            old == null ? options[i] : Options.none(),
             random.split());
     nodes[i] = n;
+    n.onLeave(
+        why -> {
+          left.put("m-" + i, why);
+          rules.log("m-" + i + " leaves: " + why);
+        });
     net.stands("c" + i, zoneOf(i));
     Exchange.Handler users = old == null ? n::handle : e -> n.handle(ProductionVersion.request(e));
-    net.listen(apis[i], "c" + i, e -> deliver(over, e, users));
-    net.listen("c" + i + ":81", "c" + i, e -> deliver(over, e, n::handleMesh));
+    Exchange.Handler peers =
+        old == null ? n::handleMesh : e -> ProductionVersion.peer(e, n::handleMesh);
+    net.listen(apis[i], "c" + i, e -> still.run(() -> deliver(over, e, users)));
+    net.listen("c" + i + ":81", "c" + i, e -> still.run(() -> deliver(over, e, peers)));
     n.start();
   }
 
+  private static Loop suspendable(Loop loop, Suspension still) {
+    return new Loop() {
+      @Override
+      public double now() {
+        return loop.now();
+      }
+
+      @Override
+      public long wallMs() {
+        return loop.wallMs();
+      }
+
+      @Override
+      public void execute(Runnable r) {
+        loop.execute(() -> still.run(r));
+      }
+
+      @Override
+      public Timer after(double seconds, Runnable r) {
+        boolean[] off = {false};
+        Timer t =
+            loop.after(
+                seconds,
+                () ->
+                    still.run(
+                        () -> {
+                          if (!off[0]) {
+                            r.run();
+                          }
+                        }));
+        return () -> {
+          off[0] = true;
+          t.cancel();
+        };
+      }
+    };
+  }
+
   private static void deliver(boolean[] over, Exchange e, Exchange.Handler h) {
     if (!over[0]) {
       h.handle(
