--- a/src/main/java/graderelay/service/FeatureDuty.java
+++ b/src/main/java/graderelay/service/FeatureDuty.java
@@ -55,7 +55,13 @@
     List<String> peers = new ArrayList<>();
     settings.peers().forEach(p -> peers.add(p.member()));
     Member self =
-        new Member(settings.member(), programVersion(), options.supported(), incarnation, 0);
+        new Member(
+            settings.member(),
+            programVersion(),
+            options.supported(),
+            incarnation,
+            loop.wallMs(),
+            0);
     boolean on = options.features() != null;
     this.membership = on ? new Membership(loop, state, cache, self, this::leave) : null;
     this.coordinator =
--- a/src/main/java/graderelay/service/Membership.java
+++ b/src/main/java/graderelay/service/Membership.java
@@ -22,7 +22,6 @@
   private final Member self;
   private final Consumer<String> superseded;
   private boolean sending;
-  private long published;
 
   /**
    * Makes the duty.
@@ -46,11 +45,13 @@
     }
     Member stored = records.members().get(self.name());
     if (stored != null && stored.incarnation().equals(self.incarnation())) {
-      published = stored.revision();
-    } else if (published == 0) {
+      return;
+    }
+    if (stored != null && stored.beganMs() > self.beganMs()) {
+      superseded.accept("a later process runs as " + self.name());
+    } else {
+      // Also over what an earlier process sent and was carried out late.
       publish(records.memberRevision(self.name()));
-    } else if (stored != null && stored.revision() > published) {
-      superseded.accept("another process runs as " + self.name());
     }
   }
 
--- a/src/main/java/graderelay/state/Cache.java
+++ b/src/main/java/graderelay/state/Cache.java
@@ -131,7 +131,7 @@
     this.listener = listener;
     this.features = new FeatureRecords(gate);
     this.election = new ElectionRecords(features);
-    state.fenceBy(FeatureCodec.LEVEL, features::levelRevision);
+    state.fenceBy(FeatureCodec.LEVEL, features::levelRevision, () -> !gate.isShut());
   }
 
   /** What is stored of feature levels. */
--- a/src/main/java/graderelay/state/StateClient.java
+++ b/src/main/java/graderelay/state/StateClient.java
@@ -17,6 +17,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -99,6 +100,7 @@
   private long nextCall;
   private String fenceKey;
   private LongSupplier fenceRevision;
+  private BooleanSupplier mayChange = () -> true;
   private boolean owner;
   private double taken;
   private double borrowedUntil;
@@ -264,11 +266,13 @@
 
   /**
    * From now on every transaction is conditioned on the revision that a key has when it is made.
-   * The condition takes no change, and one place of those that a transaction may have.
+   * The condition takes no change, and one place of those that a transaction may have. Nothing is
+   * changed while {@code mayChange} is false.
    */
-  void fenceBy(String key, LongSupplier revision) {
+  void fenceBy(String key, LongSupplier revision, BooleanSupplier mayChange) {
     fenceKey = key;
     fenceRevision = revision;
+    this.mayChange = mayChange;
   }
 
   /** Conditions that a transaction may have beside the fence. */
@@ -277,6 +281,10 @@
   }
 
   public void commit(Txn txn, Use use, Consumer<Result> done) {
+    if (!txn.changes.isEmpty() && !mayChange.getAsBoolean()) {
+      done.accept(new Result(How.NOT_EXECUTED, null));
+      return;
+    }
     if (fenceKey != null) {
       // Now, and not when there are tokens: this is the level that the transaction was made for.
       txn.when(fenceKey, fenceRevision.getAsLong());
--- a/src/main/java/graderelay/wire/FeatureCodec.java
+++ b/src/main/java/graderelay/wire/FeatureCodec.java
@@ -71,7 +71,8 @@
         .put("version", m.version())
         .put("min", m.range().min())
         .put("max", m.range().max())
-        .put("incarnation", m.incarnation());
+        .put("incarnation", m.incarnation())
+        .put("began", m.beganMs());
   }
 
   public static Member member(String name, JsonNode n, long revision) throws MalformedRecord {
@@ -80,8 +81,17 @@
     if (min > max) {
       throw new MalformedRecord("min is " + min + ", above max " + max);
     }
-    String incarnation = text(n, "incarnation");
-    return new Member(name, text(n, "version"), new FeatureRange(min, max), incarnation, revision);
+    JsonNode began = n.path("began");
+    if (!began.isIntegralNumber()) {
+      throw new MalformedRecord("began must be a time of day in milliseconds");
+    }
+    return new Member(
+        name,
+        text(n, "version"),
+        new FeatureRange(min, max),
+        text(n, "incarnation"),
+        began.longValue(),
+        revision);
   }
 
   private static int count(JsonNode n, String field) throws MalformedRecord {
--- a/src/test/java/graderelay/ModelTest.java
+++ b/src/test/java/graderelay/ModelTest.java
@@ -39,6 +39,12 @@
     assertKeepsTheRules(seed, RandomDay::playRollout);
   }
 
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void noRuleBreaksWhileControllersAndTheFeatureLevelGoUpAndDown(long seed) {
+    assertKeepsTheRules(seed, RandomDay::playLevels);
+  }
+
   private static void assertKeepsTheRules(
       long seed, BiFunction<Long, List<Fault>, Verdict> player) {
     List<Fault> faults = Fault.day(seed, RandomDay.DAY_S);
--- a/src/test/java/graderelay/sim/RandomDay.java
+++ b/src/test/java/graderelay/sim/RandomDay.java
@@ -41,6 +41,9 @@
   private final Rollout rollout;
   private int mostTooLarge;
 
+  /** No job needs others. */
+  private boolean plainJobs;
+
   private RandomDay(SimWorld world, long seed, boolean rollsOut) {
     this.world = world;
     this.random = new SplittableRandom(seed * 31 + 7);
@@ -76,6 +79,29 @@
     return day.run();
   }
 
+  /**
+   * A day on which operators upgrade, roll back and suspend controllers and change the feature
+   * level; every second one begins with the version in production.
+   */
+  public static Verdict playLevels(long seed, List<Fault> faults) {
+    SimWorld world =
+        seed % 2 == 0
+            ? SimWorld.inProduction(seed, shape(seed), SimWorld.SAME)
+            : new SimWorld(seed, shape(seed));
+    world.judgeLevels();
+    RandomDay day = new RandomDay(world, seed, false);
+    day.plainJobs = seed % 2 == 0; // That version knows no jobs that need others.
+    day.users();
+    new FaultInjector(world).schedule(faults);
+    LevelChanges changes = new LevelChanges(world, seed, DAY_S);
+    changes.begin();
+    Verdict verdict = day.run();
+    if (!changes.levelIsSupported()) {
+      verdict.broken().add("the level that is stored is none");
+    }
+    return verdict;
+  }
+
   /**
    * Deployments like the users' own: few machines whose workers report often, or many more whose
    * reports lie as far apart as a worker waits for an answer, in one to three zones.
@@ -137,7 +163,7 @@
       job.mistake = !service && random.nextInt(8) == 0;
       int node = random.nextInt(world.size);
       if (!service && random.nextInt(3) == 0) {
-        job.needs = needs();
+        job.needs = plainJobs ? List.of() : needs();
       }
       all.add(job);
       double at = 1 + random.nextDouble() * (DAY_S - 20);
--- a/src/test/java/graderelay/sim/Rules.java
+++ b/src/test/java/graderelay/sim/Rules.java
@@ -118,7 +118,7 @@
     return new ArrayList<>(trace);
   }
 
-  private void breaks(String rule) {
+  void breaks(String rule) {
     log("BROKEN " + rule);
     broken.add(rule);
   }
--- a/src/test/java/graderelay/sim/SimState.java
+++ b/src/test/java/graderelay/sim/SimState.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 
 /** The state service, written from the published protocol. */
@@ -68,6 +69,9 @@
   /** Lists under this prefix are refused for now, or null. */
   public String refusedList;
 
+  /** Hears of each transaction that is about to commit. */
+  public Consumer<JsonNode> onCommit = t -> {};
+
   public int requests;
 
   /** Transactions with changes whose conditions failed. */
@@ -121,6 +125,14 @@
     return i == null ? null : i.value();
   }
 
+  /** Somebody changes a record by hand. */
+  public void overwrite(String key, JsonNode value) {
+    revision++;
+    items.put(key, new Item(value, revision, 0));
+    changes.add(new Change(key, value, revision));
+    wake();
+  }
+
   /** Handler for one node, which may be refused alone. */
   public Exchange.Handler forNode(boolean[] refused) {
     return e -> {
@@ -287,6 +299,7 @@
       answer(e, 409, n);
       return;
     }
+    onCommit.accept(t);
     revision++;
     for (JsonNode c : t.path("then")) {
       String key = c.has("put") ? c.get("put").asText() : c.get("drop").asText();
--- a/src/test/java/graderelay/sim/SimWorld.java
+++ b/src/test/java/graderelay/sim/SimWorld.java
@@ -139,7 +139,7 @@
   }
 
   int nodeIndex(String member) {
-    return Integer.parseInt(member.substring(2));
+    return member.matches("m-[0-9]+") ? Integer.parseInt(member.substring(2)) : -1;
   }
 
   /** Controllers stand in the zones in turn. */
@@ -205,10 +205,27 @@
   /** It goes on, with all that has waited. */
   public void resume(int i) {
     rules.log("m-" + i + " goes on");
-    suspended[i].on = false;
-    List<Runnable> waiting = new ArrayList<>(suspended[i].waiting);
-    suspended[i].waiting.clear();
-    waiting.forEach(r -> loop.after(0, r));
+    suspended[i].resume(loop);
+  }
+
+  /** Suspended processes in whose place others were started, by controller. */
+  private final Map<Integer, Lost> lost = new LinkedHashMap<>();
+
+  private record Lost(Node node, Suspension suspension) {}
+
+  /** A suspended controller is taken for ended: another process may be started in its place. */
+  public void loseTrackOf(int i) {
+    lost.put(i, new Lost(nodes[i], suspended[i]));
+  }
+
+  /** That earlier process goes on, beside the later one. */
+  public void resumeLost(int i) {
+    rules.log("the earlier process of m-" + i + " goes on");
+    lost.get(i).suspension().resume(loop);
+  }
+
+  public Node lostNode(int i) {
+    return lost.get(i).node();
   }
 
   /** Keeps what a process would do while it stands still. */
@@ -216,6 +233,13 @@
     boolean on;
     final List<Runnable> waiting = new ArrayList<>();
 
+    void resume(SimLoop loop) {
+      on = false;
+      List<Runnable> all = new ArrayList<>(waiting);
+      waiting.clear();
+      all.forEach(r -> loop.after(0, r));
+    }
+
     void run(Runnable r) {
       if (on) {
         waiting.add(() -> run(r));
@@ -227,6 +251,23 @@
 
   private final Suspension[] suspended;
 
+  /** Judges transactions by the feature level, or null. */
+  private LevelRules levelRules;
+
+  /** From now on each process that starts is judged by the feature level. */
+  void judgeLevels() {
+    levelRules = new LevelRules(this, this::isUp);
+    state.onCommit = levelRules::committing;
+  }
+
+  boolean isProduction(int i) {
+    return production[i];
+  }
+
+  boolean hasLost(int i) {
+    return lost.containsKey(i);
+  }
+
   public void start(int i) {
     boolean[] over = {false};
     Suspension still = new Suspension();
@@ -238,10 +279,14 @@
         (address, method, path, body, timeoutS, done) ->
             sends.call(address, method, path, body, timeoutS, r -> still.run(() -> done.accept(r)));
     ProductionVersion old = production[i] ? new ProductionVersion(rules) : null;
+    Transport judged =
+        levelRules == null
+            ? outside
+            : levelRules.watched(i, old == null ? options[i].supported() : null, outside);
     Node n =
         new Node(
             suspendable(loop.process(drift, over), still),
-            old == null ? outside : old.transport(outside, "state" + i + ":1"),
+            old == null ? judged : old.transport(judged, "state" + i + ":1"),
             settings(i),
             old == null ? options[i] : Options.none(),
             random.split());
