--- a/src/main/java/graderelay/constants/Constants.java
+++ b/src/main/java/graderelay/constants/Constants.java
@@ -518,8 +518,17 @@
   /** Seconds without an answer after which a controller's soak time begins anew. */
   public static final double MEMBER_SILENT_S = 3.2;
 
-  /** Records that share the machines' images in their compact form, some 250 machines each. */
-  public static final int COMPACT_IMAGE_PARTS = 16;
+  /**
+   * Records that share the machines' images in their compact form, at some 18 bytes for each: four
+   * thousand machines fit values of 2 KiB.
+   */
+  public static final int COMPACT_IMAGE_PARTS = 48;
+
+  /** Times a value's size that a plain hint may have before its compact form is tried. */
+  public static final int HINT_RATIO = 3;
+
+  /** What of a plain hint is kept if its compact form does not fit a value. */
+  public static final double HINT_KEPT = 0.75;
 
   /** Bytes of a compact hint once it is decompressed; more is a mistake. */
   public static final int MOST_HINT_BYTES = 1024 * 1024;
--- a/src/main/java/graderelay/service/LeaderHints.java
+++ b/src/main/java/graderelay/service/LeaderHints.java
@@ -11,11 +11,14 @@
 import graderelay.state.StateClient;
 import graderelay.wire.CompactHints;
 import graderelay.wire.FeatureCodec;
+import graderelay.wire.Json;
 import graderelay.wire.MalformedRecord;
 import graderelay.wire.StateCodec;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.IntFunction;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -27,12 +30,6 @@
 final class LeaderHints {
   private static final Logger LOG = LoggerFactory.getLogger("hints");
 
-  /**
-   * How many times larger than a value the plain form may be whose compact form still fits it: it
-   * was measured to be more than that.
-   */
-  private static final int LEAST_RATIO = 3;
-
   private final StateClient state;
   private final Cache cache;
   private final Leadership leadership;
@@ -88,23 +85,38 @@
 
   void keepDemand(Action.KeepDemand k, long wallMs) {
     if (compact()) {
-      ObjectNode plain = StateCodec.demand(k.classes(), wallMs, mostBytes * LEAST_RATIO);
-      put(FeatureCodec.DEMAND_HINT, CompactHints.pack(plain));
+      IntFunction<ObjectNode> within = bytes -> StateCodec.demand(k.classes(), wallMs, bytes);
+      put(FeatureCodec.DEMAND_HINT, packed(within));
     } else {
       put(StateCodec.DEMAND, StateCodec.demand(k.classes(), wallMs, mostBytes));
     }
   }
 
   void keepImages(Action.KeepImages k) {
+    // By name, since neighbours in that order differ in little.
+    Map<String, List<String>> machines = new TreeMap<>(k.machines());
+    IntFunction<ObjectNode> within =
+        bytes -> StateCodec.images(machines, Constants.KEPT_IMAGES, bytes);
     if (compact()) {
-      ObjectNode plain =
-          StateCodec.images(k.machines(), Constants.KEPT_IMAGES, mostBytes * LEAST_RATIO);
-      put(FeatureCodec.IMAGE_HINTS + k.part(), CompactHints.pack(plain));
+      put(FeatureCodec.IMAGE_HINTS + k.part(), packed(within));
     } else {
-      put(
-          StateCodec.IMAGES + k.part(),
-          StateCodec.images(k.machines(), Constants.KEPT_IMAGES, mostBytes));
+      put(StateCodec.IMAGES + k.part(), within.apply(mostBytes));
+    }
+  }
+
+  /**
+   * The compact form of as much as fits a value. How much that is depends on what is compressed.
+   *
+   * @param within makes the plain form in so many bytes
+   */
+  private ObjectNode packed(IntFunction<ObjectNode> within) {
+    int plainBytes = mostBytes * Constants.HINT_RATIO;
+    ObjectNode packed = CompactHints.pack(within.apply(plainBytes));
+    while (Json.write(packed).length > mostBytes) {
+      plainBytes = (int) (plainBytes * Constants.HINT_KEPT);
+      packed = CompactHints.pack(within.apply(plainBytes));
     }
+    return packed;
   }
 
   private void put(String key, ObjectNode value) {
--- a/src/main/java/graderelay/wire/StateCodec.java
+++ b/src/main/java/graderelay/wire/StateCodec.java
@@ -12,6 +12,7 @@
 import graderelay.core.SliceRecord;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -243,7 +244,7 @@
 
   /** The same within so many bytes; it is a hint, so some machines may be left out. */
   public static ObjectNode images(Map<String, List<String>> machines, int most, int mostBytes) {
-    Map<String, List<String>> some = new HashMap<>(machines);
+    Map<String, List<String>> some = new LinkedHashMap<>(machines);
     ObjectNode n = images(some, most);
     while (Json.write(n).length > mostBytes && !some.isEmpty()) {
       some.keySet().removeAll(some.keySet().stream().limit(1 + some.size() / 8).toList());
--- a/src/test/java/graderelay/RollingUpgradeTest.java
+++ b/src/test/java/graderelay/RollingUpgradeTest.java
@@ -295,9 +295,10 @@
     SimWorld w = levelled(210, 3, pinned(LATEST));
     w.submit(0, w.job("j-000620", 3, 1, 0, false));
     final List<Rules.Known> jobs = steadyJobs(w, 40);
-    while (level(w) == 0) {
+    for (int i = 0; i < 600 && level(w) == 0; i++) {
       w.loop.run(0.05);
     }
+    assertThat(level(w)).isEqualTo(LATEST);
     w.crashAll();
     w.loop.run(1);
     w.startAll();
--- a/src/test/java/graderelay/sim/RandomDay.java
+++ b/src/test/java/graderelay/sim/RandomDay.java
@@ -84,10 +84,12 @@
    * level; every second one begins with the version in production.
    */
   public static Verdict playLevels(long seed, List<Fault> faults) {
+    boolean lowers = seed % 3 == 1;
+    Settings.StateLimits limits = lowers ? LOWER : SimWorld.SAME;
     SimWorld world =
         seed % 2 == 0
-            ? SimWorld.inProduction(seed, shape(seed), SimWorld.SAME)
-            : new SimWorld(seed, shape(seed));
+            ? SimWorld.inProduction(seed, shape(seed), limits)
+            : new SimWorld(seed, shape(seed), limits);
     world.judgeLevels();
     RandomDay day = new RandomDay(world, seed, false);
     day.plainJobs = seed % 2 == 0; // That version knows no jobs that need others.
@@ -95,6 +97,10 @@
     new FaultInjector(world).schedule(faults);
     LevelChanges changes = new LevelChanges(world, seed, DAY_S);
     changes.begin();
+    if (lowers) {
+      // Once the day is over, no controller of the version in production is left.
+      world.loop.after(DAY_S + 60, day::lowerLimits);
+    }
     Verdict verdict = day.run();
     if (!changes.levelIsSupported()) {
       verdict.broken().add("the level that is stored is none");
--- /dev/null
+++ b/src/test/java/graderelay/wire/FeatureCodecTest.java
@@ -0,0 +1,109 @@
+package graderelay.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import graderelay.features.ClusterLevel;
+import graderelay.features.FeatureRange;
+import graderelay.features.Member;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Records of feature levels and compact hints: both ways, and what is no record. */
+class FeatureCodecTest {
+  private static com.fasterxml.jackson.databind.JsonNode json(String text) {
+    return Json.read(text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  @Property(seed = "7", tries = 200)
+  void aLevelIsReadAsItWasWritten(
+      @ForAll @IntRange(max = 9) int level, @ForAll @IntRange(max = 9) int target)
+      throws MalformedRecord {
+    ClusterLevel l = new ClusterLevel(level, Math.min(level, target));
+    assertThat(FeatureCodec.level(FeatureCodec.level(l))).isEqualTo(l);
+  }
+
+  @Test
+  void aMemberIsReadAsItWasWritten() throws MalformedRecord {
+    Member m = new Member("m-1", "0.1.0", new FeatureRange(0, 2), "abc", 1234, 5);
+    assertThat(FeatureCodec.member("m-1", FeatureCodec.member(m), 5)).isEqualTo(m);
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "{\"min\":2,\"max\":1,\"version\":\"1\",\"incarnation\":\"a\",\"began\":1}|min is 2",
+        "{\"min\":0,\"max\":\"x\",\"version\":\"1\",\"incarnation\":\"a\",\"began\":1}|max must be",
+        "{\"min\":0,\"max\":1,\"version\":\"\",\"incarnation\":\"a\",\"began\":1}|version must be",
+        "{\"min\":0,\"max\":1,\"version\":\"1\",\"began\":1}|incarnation must be",
+        "{\"min\":0,\"max\":1,\"version\":\"1\",\"incarnation\":\"a\"}|began must be",
+        "{}|min must be"
+      })
+  void aMalformedMemberIsRefusedByItsField(String record, String message) {
+    assertThatThrownBy(() -> FeatureCodec.member("m-1", json(record), 1))
+        .isInstanceOf(MalformedRecord.class)
+        .hasMessageContaining(message);
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "{}|level",
+        "{\"level\":1.5}|level",
+        "{\"level\":1,\"target\":2}|target",
+        "[]|level"
+      })
+  void aMalformedLevelIsRefusedByItsField(String record, String field) {
+    assertThatThrownBy(() -> FeatureCodec.level(json(record)))
+        .isInstanceOf(MalformedRecord.class)
+        .hasMessageContaining(field);
+  }
+
+  /** Machines as a large fleet has them, each with some of a few images. */
+  private static Map<String, List<String>> machines(int from, int n) {
+    Map<String, List<String>> machines = new TreeMap<>();
+    for (int i = from; i < from + n; i++) {
+      List<String> images = new ArrayList<>();
+      for (int k = 0; k < 12; k++) {
+        if ((i * 2654435761L >> k & 3) == 0) {
+          images.add("img-" + k);
+        }
+      }
+      machines.put(String.format("n-%06d", i), images);
+    }
+    return machines;
+  }
+
+  @Property(seed = "7", tries = 100)
+  void aCompactHintHoldsWhatThePlainOneDoes(@ForAll @IntRange(max = 400) int n)
+      throws MalformedRecord {
+    ObjectNode plain = StateCodec.images(machines(n, n), 60);
+    assertThat(StateCodec.images(CompactHints.unpack(CompactHints.pack(plain))))
+        .isEqualTo(StateCodec.images(plain));
+  }
+
+  @Test
+  void aCompactHintTakesLessThanHalfOfThePlainOneAlsoWhereImagesAreSpreadAtRandom() {
+    ObjectNode plain = StateCodec.images(machines(0, 250), 60);
+    int compact = Json.write(CompactHints.pack(plain)).length;
+    assertThat(compact * 2).isLessThan(Json.write(plain).length);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"{}", "'{\"z\":\"!\"}'", "'{\"z\":\"AAAA\"}'", "'{\"z\":5}'"})
+  void aCompactHintThatIsNoneIsRefused(String record) {
+    assertThatThrownBy(() -> CompactHints.unpack(json(record))).isInstanceOf(MalformedRecord.class);
+  }
+}
