--- a/src/main/java/graderelay/state/Leadership.java
+++ b/src/main/java/graderelay/state/Leadership.java
@@ -10,9 +10,7 @@
 import graderelay.wire.PeerRequest;
 import graderelay.wire.StateCodec;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import org.slf4j.Logger;
@@ -86,17 +84,7 @@
   /** Tells this process from earlier ones of the same member. */
   private final String self;
 
-  /** When we won the fleet, when each peer answered last, and which bars we are lifting. */
-  private double wonAt;
-
-  private final Map<String, Double> lastHeard = new HashMap<>();
-  private final Set<String> lifting = new HashSet<>();
-
-  /** Changes a second that each peer may make. */
-  private final Map<String, Double> shares = new HashMap<>();
-
-  private boolean looking;
-  private boolean changing;
+  private final PeerSupervisor supervisor;
 
   /** When our record of leaving our bar was known to stand, or NaN. */
   private double leftAt = Double.NaN;
@@ -122,13 +110,49 @@
     this.self = Long.toHexString(Double.doubleToRawLongBits(random.getAsDouble()));
     this.mesh = mesh;
     this.cancellations = cancellations;
-    cancellations.mutePeers(p -> loop.now() < barHolds(p));
+    this.supervisor = new PeerSupervisor(loop, state, cache, mesh, member, new LeaderView());
+    cancellations.mutePeers(p -> loop.now() < supervisor.suspendedUntil(p));
     this.holdS = holdS;
     // An earlier process of this member may have made a promise just before it ended.
     this.keepBefore = loop.now() + Constants.KEEP_S * (1 + Constants.DRIFT);
     this.notBefore = loop.now() + Constants.PROMISE_S * (1 + Constants.DRIFT);
   }
 
+  /** What this leadership shows its supervisor of peers. */
+  private final class LeaderView implements PeerSupervisor.Leader {
+    @Override
+    public boolean leads() {
+      return owner && !closed;
+    }
+
+    @Override
+    public long term() {
+      return term;
+    }
+
+    @Override
+    public long revision() {
+      return ownerMark;
+    }
+
+    @Override
+    public boolean holdsLease() {
+      return loop.now() <= heldUntil;
+    }
+  }
+
+  /** True if we lead and the peer answered our last questions. */
+  public boolean hears(String peer) {
+    return supervisor.hears(peer);
+  }
+
+  /** The leader tells us our share of the changes. */
+  public void takeShare(long itsTerm, double changesPerS) {
+    if (!owner && !closed && itsTerm >= cache.term()) {
+      state.borrow(changesPerS);
+    }
+  }
+
   /** Tells this process from earlier and later ones of the same controller. */
   public String process() {
     return self;
@@ -160,134 +184,12 @@
     double until = Double.POSITIVE_INFINITY;
     for (Settings.Peer p : mesh.peers()) {
       double promise = promises.getOrDefault(p.member(), Double.NEGATIVE_INFINITY);
-      until = Math.min(until, Math.max(promise, barHolds(p.member())));
+      until = Math.min(until, Math.max(promise, supervisor.suspendedUntil(p.member())));
     }
     return mesh.peers().isEmpty() ? Double.NEGATIVE_INFINITY : until;
   }
 
-  // ---------------------------------------------------------------- bars
-
-  /**
-   * Until when a silent peer can't own the fleet, for all that this owner knows: its bar stood when
-   * we last read the records, only we could lift it, and the peer itself needs as long to leave it.
-   */
-  private double barHolds(String peer) {
-    StateCodec.Bar b = cache.bar(peer);
-    boolean stands = b != null && b.leaving().isEmpty() && !lifting.contains(peer);
-    return owner && stands && cache.sureAt() >= wonAt
-        ? cache.sureAt() + Constants.BAR_S * (1 - Constants.DRIFT) - Constants.KEEP_MARGIN_S
-        : Double.NEGATIVE_INFINITY;
-  }
-
-  /**
-   * Looks after the peers while we own the fleet. The promise of one that is down can't be had, and
-   * without it an outage of the state service would cost every worker its lease. So it is barred
-   * from taking over, by a record that its own taking over is conditioned on.
-   */
-  private void lookAfterPeers() {
-    if (!owner || closed) {
-      looking = false;
-      return;
-    }
-    looking = true;
-    long of = term;
-    for (Settings.Peer p : mesh.peers()) {
-      mesh.send(
-          p.address(),
-          new PeerRequest.Share(member, of, shares.getOrDefault(p.member(), state.usualShare())),
-          PeerCodec::wanted,
-          mesh.timeoutS(),
-          wanted -> {
-            if (wanted != null) {
-              lastHeard.put(p.member(), loop.now());
-            }
-            if (owner && term == of) {
-              share(p.member(), wanted == null ? 0 : wanted.changes());
-            }
-          });
-      bar(p.member());
-    }
-    loop.after(Constants.LOOK_AFTER_EVERY_S, this::lookAfterPeers);
-  }
-
-  /** Lends a peer as much of our changes as it needs, and takes it back bit by bit. */
-  private void share(String peer, double wanted) {
-    double usual = state.usualShare();
-    double most = state.allChanges() * Constants.MOST_SHARE;
-    double need = Math.min(most, wanted * Constants.SHARE_ROOM);
-    double before = shares.getOrDefault(peer, usual);
-    shares.put(peer, Math.max(usual, Math.max(need, before * Constants.SHARE_KEPT)));
-    double lent = 0;
-    for (double s : shares.values()) {
-      lent += s - usual;
-    }
-    double mostLent = state.ownersChanges() * Constants.MOST_LENT;
-    if (lent > mostLent) {
-      double scale = mostLent / lent;
-      shares.replaceAll((p, s) -> usual + (s - usual) * scale);
-      lent = mostLent;
-    }
-    state.lend(lent);
-  }
-
-  /** The owner tells us our share of the changes. */
-  public void takeShare(long itsTerm, double changesPerS) {
-    if (!owner && !closed && itsTerm >= cache.term()) {
-      state.borrow(changesPerS);
-    }
-  }
-
-  /** True if we own the fleet and the peer answered our last questions. */
-  public boolean hears(String peer) {
-    double last = lastHeard.getOrDefault(peer, Double.NEGATIVE_INFINITY);
-    return owner && loop.now() - last < Constants.LOOK_AFTER_EVERY_S * 1.5;
-  }
-
-  private void bar(String peer) {
-    StateCodec.Bar b = cache.bar(peer);
-    double silent = loop.now() - Math.max(wonAt, lastHeard.getOrDefault(peer, wonAt));
-    boolean stands = b != null && b.leaving().isEmpty() && !lifting.contains(peer);
-    boolean put = !stands && silent > Constants.BAR_AFTER_S;
-    if (changing || !cache.loaded() || loop.now() > heldUntil || loop.now() < wonAt + 1) {
-      return;
-    }
-    String key = cache.election().suspensionKey(peer);
-    StateClient.Txn txn =
-        new StateClient.Txn()
-            .when(cache.election().leaderKey(), ownerMark)
-            .when(key, b == null ? 0 : b.mark());
-    if (b != null && hears(peer)) {
-      lifting.add(peer); // Not counted on from now, whenever the record goes.
-      txn.drop(key);
-    } else if (put && barredBut(peer) < mesh.peers().size() / 2) {
-      LOG.info("{} is silent: barred from taking over", peer);
-      txn.put(key, StateCodec.bar(""));
-    } else {
-      return;
-    }
-    changing = true;
-    state.commit(
-        txn,
-        Use.CLAIM,
-        r ->
-            cache.catchUp(
-                ok -> {
-                  changing = false;
-                  // A new bar's mark also keeps out what was to lift the old one and comes late.
-                  if (cache.bar(peer) == null || (put && r.done())) {
-                    lifting.remove(peer);
-                  }
-                }));
-  }
-
-  /** Never more than half of the peers: with the owner gone as well, somebody must take over. */
-  private int barredBut(String peer) {
-    int n = 0;
-    for (Settings.Peer p : mesh.peers()) {
-      n += !p.member().equals(peer) && cache.bar(p.member()) != null ? 1 : 0;
-    }
-    return n;
-  }
+  // ---------------------------------------------------------------- our own suspension
 
   /**
    * Leaves our own bar, which the last owner put up while it did not hear us. It may count on the
@@ -675,11 +577,6 @@
       return;
     }
     owner = true;
-    wonAt = loop.now();
-    lastHeard.clear();
-    lifting.clear();
-    shares.clear();
-    changing = false;
     state.owns(true);
     term = newTerm;
     ownerMark = mark;
@@ -687,9 +584,7 @@
     counted(sentAt);
     LOG.info("{} owns the fleet with term {}", member, term);
     renewLater();
-    if (!looking) {
-      lookAfterPeers();
-    }
+    supervisor.begin();
     listener.onWon(term);
   }
 
@@ -774,7 +669,7 @@
 
   /** Changes the cluster's feature level, and raises our term with it. */
   public void changeLevel(LevelChange change, Consumer<StateClient.How> done) {
-    boolean busy = raising || changing || trying;
+    boolean busy = raising || supervisor.changing() || trying;
     if (!entitled() || busy || change.mustWait(cache.features(), cache.election())) {
       done.accept(StateClient.How.NOT_EXECUTED);
       return;
