--- a/src/main/java/graderelay/constants/Constants.java
+++ b/src/main/java/graderelay/constants/Constants.java
@@ -185,10 +185,10 @@
   public static final double KEEP_IMAGES_EVERY_S = 15;
 
   /**
-   * Records that share the machines' images: some 30 bytes for each, so that four thousand machines
+   * Records that share the images of each thousand machines: some 30 bytes a machine, so that they
    * fit values of 2 KiB.
    */
-  public static final int IMAGE_PARTS = 96;
+  public static final int IMAGE_PARTS_PER_THOUSAND = 24;
 
   /**
    * Such records written at one time, each a change of the state service: a bound on a batch. The
@@ -277,6 +277,9 @@
   /** Seconds; longest such pause: capacity comes back without a sign. */
   public static final double LONGEST_EMPTY_POOL_PAUSE_S = 24;
 
+  /** Seconds over which arrivals are averaged at the least: a few say little of the next ones. */
+  public static final double LEAST_SPAN_S = 60;
+
   /** Seconds for which arrivals are remembered to size the spare room. */
   public static final double ARRIVAL_MEMORY_S = 300;
 
@@ -518,11 +521,8 @@
   /** Seconds without an answer after which a controller's soak time begins anew. */
   public static final double MEMBER_SILENT_S = 3.2;
 
-  /**
-   * Records that share the machines' images in their compact form, at some 18 bytes for each: four
-   * thousand machines fit values of 2 KiB.
-   */
-  public static final int COMPACT_IMAGE_PARTS = 48;
+  /** The same for records in their compact form, at some 18 bytes a machine. */
+  public static final int COMPACT_IMAGE_PARTS_PER_THOUSAND = 12;
 
   /** Times a value's size that a plain hint may have before its compact form is tried. */
   public static final int HINT_RATIO = 3;
--- a/src/main/java/graderelay/core/ClusterState.java
+++ b/src/main/java/graderelay/core/ClusterState.java
@@ -42,8 +42,11 @@
   /** Jobs whose users have asked to stop them. */
   final Set<Job> stopped = new LinkedHashSet<>();
 
-  /** Records that share the machines' images. */
-  int imageParts = Constants.IMAGE_PARTS;
+  /** Records that share the images of each thousand machines. */
+  int imagePartsPerThousand = Constants.IMAGE_PARTS_PER_THOUSAND;
+
+  /** Records that share the images of all machines. */
+  int imageParts;
 
   /** Something has changed that a round should look at. */
   boolean dirty = true;
@@ -69,6 +72,12 @@
     this.policy = policy;
   }
 
+  /** Machines are shared out anew among the records, so that all of them have to be written. */
+  void imageParts(int parts) {
+    imageParts = parts;
+    machines.values().forEach(m -> m.imagesChanged = !m.images.isEmpty());
+  }
+
   void note(String text) {
     out.add(new Action.Note(text));
   }
--- a/src/main/java/graderelay/core/FleetPlanner.java
+++ b/src/main/java/graderelay/core/FleetPlanner.java
@@ -109,15 +109,16 @@
 
   /** What an earlier owner remembered; jobs that are still live were counted already. */
   void onDemand(Action.Demand d, double now) {
+    List<Arrival> live = new ArrayList<>();
+    for (Arrival a : arrivals) {
+      if (a.spec().jobClass().equals(d.latest().jobClass())) {
+        live.add(a);
+      }
+    }
     for (double[] a : d.arrivals()) {
       double at = now - a[0];
       boolean known =
-          arrivals.stream()
-              .anyMatch(
-                  x ->
-                      Math.abs(x.at() - at) < 0.5
-                          && x.tasks() == (int) a[1]
-                          && x.spec().jobClass().equals(d.latest().jobClass()));
+          live.stream().anyMatch(x -> Math.abs(x.at() - at) < 0.5 && x.tasks() == (int) a[1]);
       if (!known) {
         arrivals.add(new Arrival(at, d.latest(), (int) a[1]));
       }
@@ -317,6 +318,11 @@
       return;
     }
     lastImages = now;
+    int thousands = 1 + (world.machines.size() - 1) / 1000;
+    int wanted = world.imagePartsPerThousand * thousands;
+    if (wanted > world.imageParts) {
+      world.imageParts(wanted); // It does not shrink with the fleet, or it would go to and fro.
+    }
     Map<Integer, Map<String, List<String>>> parts = changedImageParts();
     if (parts.isEmpty()) {
       return;
@@ -710,13 +716,16 @@
       if (wait == null || wait > boot) {
         continue;
       }
-      double span = Math.max(60, Math.min(Constants.ARRIVAL_MEMORY_S, now - startedAt));
       int sum = 0;
       int largest = 0;
+      double since = startedAt; // Or earlier, as far as the last leader has told.
       for (Arrival a : e.getValue()) {
         sum += a.tasks();
         largest = Math.max(largest, a.tasks());
+        since = Math.min(since, a.at());
       }
+      double span =
+          Math.max(Constants.LEAST_SPAN_S, Math.min(Constants.ARRIVAL_MEMORY_S, now - since));
       double mean = sum / span * boot * 1.5;
       JobSpec typical = e.getValue().get(e.getValue().size() - 1).spec();
       // Arrays come in lumps, and several at once on a bad day.
--- a/src/main/java/graderelay/core/Scheduler.java
+++ b/src/main/java/graderelay/core/Scheduler.java
@@ -171,11 +171,11 @@
     world.knownImages.putAll(machines);
   }
 
-  /** In how many records the images on machines are kept from now on. */
-  public void onImageParts(int parts) {
-    if (parts != world.imageParts) {
-      world.imageParts = parts;
-      world.machines.values().forEach(m -> m.imagesChanged = !m.images.isEmpty());
+  /** In how many records the images of each thousand machines are kept from now on. */
+  public void onImageParts(int perThousand) {
+    if (perThousand != world.imagePartsPerThousand) {
+      world.imagePartsPerThousand = perThousand;
+      world.imageParts(0);
     }
   }
 
--- a/src/main/java/graderelay/service/FleetController.java
+++ b/src/main/java/graderelay/service/FleetController.java
@@ -98,7 +98,7 @@
   void start() {
     double now = loop.now();
     hints.images().forEach(core::onImages);
-    core.onImageParts(hints.imageParts());
+    core.onImageParts(hints.imagePartsPerThousand());
     for (Cache.Entry e : cache.jobs().values()) {
       onJob(e);
     }
@@ -174,7 +174,7 @@
   /** The term was raised with a change of the feature level, which may change the hints' form. */
   void onTermRaised(long term) {
     core.onTerm(term, loop.now());
-    core.onImageParts(hints.imageParts());
+    core.onImageParts(hints.imagePartsPerThousand());
     stepSoon();
   }
 
--- a/src/main/java/graderelay/service/LeaderHints.java
+++ b/src/main/java/graderelay/service/LeaderHints.java
@@ -46,9 +46,11 @@
     return cache.features().gate().enabled(Feature.COMPACT_HINTS);
   }
 
-  /** Records that share the images of all machines. */
-  int imageParts() {
-    return compact() ? Constants.COMPACT_IMAGE_PARTS : Constants.IMAGE_PARTS;
+  /** Records that share the images of each thousand machines. */
+  int imagePartsPerThousand() {
+    return compact()
+        ? Constants.COMPACT_IMAGE_PARTS_PER_THOUSAND
+        : Constants.IMAGE_PARTS_PER_THOUSAND;
   }
 
   /** The images on machines in all records, the newer form last. */
