--- a/src/main/java/graderelay/constants/Constants.java
+++ b/src/main/java/graderelay/constants/Constants.java
@@ -203,10 +203,10 @@
   public static final double KEEP_DEMAND_EVERY_S = 10;
 
   /**
-   * Arrivals of one class kept in that record, at some 20 bytes each: the last minutes of a fleet
-   * of thousands. The oldest are left out where they don't fit a value.
+   * Arrivals of one class kept in that record for each thousand machines, at some 20 bytes each.
+   * The oldest are left out where they don't fit a value.
    */
-  public static final int KEPT_ARRIVALS = 256;
+  public static final int KEPT_ARRIVALS_PER_THOUSAND = 24;
 
   /** Classes kept in that record. */
   public static final int KEPT_CLASSES = 12;
--- a/src/main/java/graderelay/core/FleetPlanner.java
+++ b/src/main/java/graderelay/core/FleetPlanner.java
@@ -140,7 +140,7 @@
       Action.Demand d =
           classes.computeIfAbsent(
               a.spec().jobClass(), c -> new Action.Demand(a.spec(), new ArrayList<>()));
-      if (d.arrivals().size() < Constants.KEPT_ARRIVALS) {
+      if (d.arrivals().size() < Constants.KEPT_ARRIVALS_PER_THOUSAND * thousands()) {
         d.arrivals().add(new double[] {now - a.at(), a.tasks()});
       }
       if (classes.size() > Constants.KEPT_CLASSES) {
@@ -309,6 +309,11 @@
   private double lastImages;
   private int nextImagePart;
 
+  /** Thousands of machines, the last of which need not be full. */
+  private int thousands() {
+    return 1 + Math.max(0, world.machines.size() - 1) / 1000;
+  }
+
   /**
    * Only the records of which a machine has got an image that they don't name, and at most so many
    * at a time, in turn.
@@ -318,8 +323,7 @@
       return;
     }
     lastImages = now;
-    int thousands = 1 + (world.machines.size() - 1) / 1000;
-    int wanted = world.imagePartsPerThousand * thousands;
+    int wanted = world.imagePartsPerThousand * thousands();
     if (wanted > world.imageParts) {
       world.imageParts(wanted); // It does not shrink with the fleet, or it would go to and fro.
     }
@@ -718,14 +722,12 @@
       }
       int sum = 0;
       int largest = 0;
-      double since = startedAt; // Or earlier, as far as the last leader has told.
       for (Arrival a : e.getValue()) {
         sum += a.tasks();
         largest = Math.max(largest, a.tasks());
-        since = Math.min(since, a.at());
       }
       double span =
-          Math.max(Constants.LEAST_SPAN_S, Math.min(Constants.ARRIVAL_MEMORY_S, now - since));
+          Math.max(Constants.LEAST_SPAN_S, Math.min(Constants.ARRIVAL_MEMORY_S, now - startedAt));
       double mean = sum / span * boot * 1.5;
       JobSpec typical = e.getValue().get(e.getValue().size() - 1).spec();
       // Arrays come in lumps, and several at once on a bad day.
--- a/src/main/java/graderelay/wire/StateCodec.java
+++ b/src/main/java/graderelay/wire/StateCodec.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import graderelay.constants.Constants;
 import graderelay.core.Action;
 import graderelay.core.JobSpec;
 import graderelay.core.Kind;
@@ -188,7 +187,7 @@
 
   /** The same within so many bytes: the oldest arrivals are left out, then whole classes. */
   public static ObjectNode demand(List<Action.Demand> classes, long nowMs, int mostBytes) {
-    int most = Constants.KEPT_ARRIVALS;
+    int most = classes.stream().mapToInt(d -> d.arrivals().size()).max().orElse(0);
     ObjectNode n = demand(classes, nowMs);
     while (Json.write(n).length > mostBytes) {
       ArrayNode list = (ArrayNode) n.get("classes");
