--- a/src/main/java/graderelay/constants/Constants.java
+++ b/src/main/java/graderelay/constants/Constants.java
@@ -253,11 +253,8 @@
    */
   public static final double CLOSE_SHARE = 0.02;
 
-  /**
-   * Machines looked at in one plan as candidates for closing, at the least; a large fleet looks at
-   * as many as it may close.
-   */
-  public static final int CLOSE_TRIES = 8;
+  /** Machines looked at in one plan as candidates for closing, for each thousand machines. */
+  public static final int CLOSE_TRIES_PER_THOUSAND = 8;
 
   /** Share of a machine's own size that must be left over when it is closed: no to and fro. */
   public static final double CLOSE_SLACK = 0.5;
--- a/src/main/java/graderelay/core/FleetPlanner.java
+++ b/src/main/java/graderelay/core/FleetPlanner.java
@@ -409,7 +409,7 @@
     }
     ordinary.sort(Comparator.comparingDouble(m -> -wasted(m)));
     int most = atOnce(ordinary);
-    int tries = Math.max(Constants.CLOSE_TRIES, most);
+    int tries = Constants.CLOSE_TRIES_PER_THOUSAND * thousands();
     for (Machine m : ordinary) {
       if (m.closing || keep.contains(m) || now - m.rentedAt < Constants.CHARGED_AT_LEAST_S) {
         continue;
