--- a/src/main/java/graderelay/api/MeshApi.java
+++ b/src/main/java/graderelay/api/MeshApi.java
@@ -1,5 +1,6 @@
 package graderelay.api;
 
+import graderelay.features.Feature;
 import graderelay.mesh.MeshClient;
 import graderelay.net.Exchange;
 import graderelay.net.Exchange.Answer;
@@ -64,8 +65,10 @@
   /** Answers one request; one of a kind that this version does not know is refused. */
   public void handle(Exchange e) {
     boolean message = e.method().equals("POST") && e.path().equals(MeshClient.PATH);
-    PeerRequest request = message ? PeerCodec.request(e.body()) : null;
-    int theirs = message ? PeerCodec.featureLevel(e.body()) : 0;
+    PeerCodec.Envelope envelope =
+        message ? PeerCodec.envelope(e.body()) : new PeerCodec.Envelope(null, Feature.BASE_LEVEL);
+    PeerRequest request = envelope.request();
+    int theirs = envelope.featureLevel();
     int ours = features.gate().current().level();
     if (theirs > ours) {
       catchUp.run(); // We have missed a change of the level.
--- a/src/main/java/graderelay/features/UpgradeCoordinator.java
+++ b/src/main/java/graderelay/features/UpgradeCoordinator.java
@@ -92,7 +92,7 @@
       return;
     }
     completeFeatures();
-    int common = Finalization.commonLevel(configured(), store.published());
+    int common = commonLevel();
     if (common <= gate.current().level()) {
       return;
     }
--- a/src/main/java/graderelay/wire/PeerCodec.java
+++ b/src/main/java/graderelay/wire/PeerCodec.java
@@ -51,10 +51,20 @@
     return Json.writeCbor(n);
   }
 
-  /** The feature level that the sender of these bytes knows to be the cluster's. */
-  public static int featureLevel(byte[] bytes) {
+  /**
+   * A request with what its sender knows.
+   *
+   * @param request null if it is none that this version knows
+   * @param featureLevel the level that the sender takes for the cluster's
+   */
+  public record Envelope(PeerRequest request, int featureLevel) {}
+
+  /** Reads a request and its sender's feature level in one pass. */
+  public static Envelope envelope(byte[] bytes) {
     JsonNode n = Json.readCbor(bytes);
-    return n == null ? Feature.BASE_LEVEL : n.path(LEVEL).asInt(Feature.BASE_LEVEL);
+    return n == null
+        ? new Envelope(null, Feature.BASE_LEVEL)
+        : new Envelope(request(n), n.path(LEVEL).asInt(Feature.BASE_LEVEL));
   }
 
   private static ObjectNode tree(PeerRequest request) {
@@ -90,10 +100,10 @@
 
   /** The request, or null if these bytes are none that this version knows. */
   public static PeerRequest request(byte[] bytes) {
-    JsonNode n = Json.readCbor(bytes);
-    if (n == null) {
-      return null;
-    }
+    return envelope(bytes).request();
+  }
+
+  private static PeerRequest request(JsonNode n) {
     String member = n.path("member").asText();
     long term = n.path("term").asLong();
     double seconds = n.path("seconds").asDouble();
