--- a/src/main/java/graderelay/api/AdminApi.java
+++ b/src/main/java/graderelay/api/AdminApi.java
@@ -20,6 +20,7 @@
 import graderelay.state.Leadership;
 import graderelay.state.StateClient;
 import graderelay.state.StateClient.How;
+import graderelay.state.TeamLimits;
 import graderelay.wire.BadRequest;
 import graderelay.wire.Json;
 import graderelay.wire.PeerCodec;
@@ -44,6 +45,7 @@
 
   private final Loop loop;
   private final Settings platform;
+  private final TeamLimits limits;
   private final StateClient state;
   private final Cache cache;
   private final Leadership leadership;
@@ -56,6 +58,7 @@
   public AdminApi(
       Loop loop,
       Settings platform,
+      TeamLimits limits,
       StateClient state,
       Cache cache,
       Leadership leadership,
@@ -66,6 +69,7 @@
       BooleanSupplier ready) {
     this.loop = loop;
     this.platform = platform;
+    this.limits = limits;
     this.state = state;
     this.cache = cache;
     this.leadership = leadership;
@@ -242,7 +246,7 @@
   private void teams(Exchange e) {
     var use = core.get().teamUse();
     ArrayNode a = Json.array();
-    for (Team t : platform.teams()) {
+    for (Team t : limits.teams()) {
       var u = use.get(t.name());
       ObjectNode n = a.addObject().put("name", t.name());
       n.put("cpus_used", u == null ? 0 : u.cpus()).put("cpus", t.cpus());
--- a/src/main/java/graderelay/api/UserApi.java
+++ b/src/main/java/graderelay/api/UserApi.java
@@ -6,7 +6,6 @@
 import graderelay.core.JobSpec;
 import graderelay.core.MachineType;
 import graderelay.core.SliceRecord;
-import graderelay.core.Team;
 import graderelay.net.Exchange;
 import graderelay.net.Exchange.Answer;
 import graderelay.net.Loop;
@@ -17,6 +16,7 @@
 import graderelay.state.FinalStateLookup;
 import graderelay.state.StateClient;
 import graderelay.state.StateClient.How;
+import graderelay.state.TeamLimits;
 import graderelay.wire.BadRequest;
 import graderelay.wire.Json;
 import graderelay.wire.StateCodec;
@@ -44,6 +44,7 @@
   private final Cache cache;
   private final Cancellations cancellations;
   private final Settings settings;
+  private final TeamLimits limits;
   private final Supplier<Collection<MachineType>> types;
   private final IntSupplier sliceCap;
   private final FinalStateLookup ends;
@@ -56,6 +57,7 @@
       Cache cache,
       Cancellations cancellations,
       Settings settings,
+      TeamLimits limits,
       Supplier<Collection<MachineType>> types,
       IntSupplier sliceCap) {
     this.loop = loop;
@@ -63,6 +65,7 @@
     this.cache = cache;
     this.cancellations = cancellations;
     this.settings = settings;
+    this.limits = limits;
     this.types = types;
     this.sliceCap = sliceCap;
     this.ends = new FinalStateLookup(loop, state, cache, settings.least().txnOps());
@@ -176,21 +179,14 @@
     return end.cancelled() ? "cancelled" : "done";
   }
 
-  /** Why a job can never run; null if it can, and "unknown" is not decided here. */
+  /**
+   * Why a job can never run, as far as this node knows; null if it can. Users take a refusal for
+   * good, so none is given before the records, of limits too, have been read anew.
+   */
   private String neverRuns(JobSpec s) {
-    Team team = null;
-    for (Team t : settings.teams()) {
-      if (t.name().equals(s.team())) {
-        team = t;
-      }
-    }
-    if (team == null) {
-      return "crew " + s.team() + " is not known";
-    }
-    int atOnce = s.isService() ? s.tasks() : 1;
-    if ((team.cpusMax() > 0 && s.cpus() * atOnce > team.cpusMax() + 1e-6)
-        || (team.gpusMax() > 0 && s.gpus() * atOnce > team.gpusMax() + 1e-6)) {
-      return "the job needs more than the limit of crew " + s.team();
+    String forbidden = limits.forbids(s);
+    if (forbidden != null) {
+      return forbidden;
     }
     Collection<MachineType> all = types.get();
     if (all != null && all.stream().noneMatch(s::fits)) {
--- a/src/main/java/graderelay/cli/Main.java
+++ b/src/main/java/graderelay/cli/Main.java
@@ -30,6 +30,7 @@
       Tools.Machines.class,
       Tools.SettingsTool.class,
       FeaturesTool.class,
+      QuotaTool.class,
       Warmup.class
     })
 public final class Main implements Runnable {
--- a/src/main/java/graderelay/constants/Constants.java
+++ b/src/main/java/graderelay/constants/Constants.java
@@ -512,6 +512,15 @@
   /** Longest soak time that may be set, in seconds. */
   public static final double MOST_SOAK_S = 86_400;
 
+  /**
+   * Seconds for which a team's account may be above its committed claims before it is lowered by a
+   * change of its own. Claims lower it on their way, so this is for teams that only end work.
+   */
+  public static final double ACCOUNT_RELEASE_S = 5;
+
+  /** Seconds between comparisons of the accounts with the committed claims. */
+  public static final double ACCOUNT_CHECK_EVERY_S = 1;
+
   /** Seconds between looks at feature levels. */
   public static final double FEATURE_LOOK_EVERY_S = 1;
 
--- a/src/main/java/graderelay/core/Action.java
+++ b/src/main/java/graderelay/core/Action.java
@@ -1,5 +1,7 @@
 package graderelay.core;
 
+import graderelay.quota.AccountChange;
+import graderelay.quota.Difference;
 import java.util.List;
 
 /** What the core wants done outside. The outside reports back under the same id or names. */
@@ -8,8 +10,14 @@
   /**
    * One transaction: every part is conditioned on the owner record, on the mark of each changed
    * record, and, for claims, on the mark of the job, so that a cancellation and a claim compete.
+   * With stored limits the accounts of the teams whose claims it holds are among the records.
    */
-  record Write(long id, List<SlicePut> slices, List<JobEnd> ends, List<SliceDrop> drops)
+  record Write(
+      long id,
+      List<SlicePut> slices,
+      List<JobEnd> ends,
+      List<SliceDrop> drops,
+      List<AccountChange> accounts)
       implements Action {}
 
   /** Replaces a slice's record. {@code jobMark} is the job's version that was checked. */
@@ -56,6 +64,9 @@
   /** Something to be counted: a start with the time that its job waited, or how a task ended. */
   record Seen(String what, double waitedS) implements Action {}
 
+  /** An account is not what it should be. */
+  record DifferenceFound(Difference difference) implements Action {}
+
   /** One line of the story, for the log. */
   record Note(String text) implements Action {}
 }
--- a/src/main/java/graderelay/core/ClusterState.java
+++ b/src/main/java/graderelay/core/ClusterState.java
@@ -1,6 +1,7 @@
 package graderelay.core;
 
 import graderelay.constants.Constants;
+import graderelay.quota.AdmissionControl;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -65,6 +66,9 @@
   /** Who may keep leases alive in zones that are cut off from us. */
   LeaseDelegates deputies;
 
+  /** Admission by the stored limits, once they are switched on. */
+  final AdmissionControl admission = new AdmissionControl(Constants.ACCOUNT_RELEASE_S);
+
   final List<Action> out = new ArrayList<>();
   Policy policy;
 
@@ -88,6 +92,9 @@
 
   /** True if one more task of this size keeps the team within its limit. */
   boolean withinLimit(String team, Resources extra) {
+    if (!admission.fits(team, extra.amount())) {
+      return false;
+    }
     Team t = policy.team(team);
     if (t == null) {
       return true;
@@ -99,6 +106,9 @@
 
   /** CPUs that the team's limit leaves beside its claims; without a limit, any number. */
   double cpusLeft(String team) {
+    if (admission.isStopped(team)) {
+      return 0;
+    }
     Team t = policy.team(team);
     return t == null || t.cpusMax() <= 0 ? Double.MAX_VALUE : t.cpusMax() - use(team).cpus();
   }
@@ -143,6 +153,9 @@
     m.take(c);
     byPriority.add(c.priority);
     teamUse.merge(c.job.spec.team(), c.room(), Resources::plus);
+    if (c.phase == Claim.Phase.CLAIMING) {
+      admission.placed(c.job.spec.team(), c.job.amount);
+    }
     c.job.claims.put(c.task, c);
     c.job.open.clear(c.task);
     if (m.zone != null) {
@@ -151,6 +164,12 @@
     }
   }
 
+  /** The transaction of a claim has committed. */
+  void held(Claim c) {
+    c.phase = Claim.Phase.HELD;
+    admission.noLongerPlaced(c.job.spec.team(), c.job.amount);
+  }
+
   /** Takes a claim out of every sum. */
   void remove(Claim c, double now) {
     Machine m = machine(c.machine, now);
@@ -166,6 +185,9 @@
       m.idleSince = now;
     }
     teamUse.merge(c.job.spec.team(), Resources.NONE.minus(c.room()), Resources::plus);
+    if (c.phase == Claim.Phase.CLAIMING) {
+      admission.noLongerPlaced(c.job.spec.team(), c.job.amount);
+    }
     c.job.claims.remove(c.task, c);
     if (c.zone != null) {
       c.job.zoneClaims.merge(c.zone, -1, Integer::sum);
--- a/src/main/java/graderelay/core/Job.java
+++ b/src/main/java/graderelay/core/Job.java
@@ -1,6 +1,7 @@
 package graderelay.core;
 
 import graderelay.constants.Constants;
+import graderelay.quota.Amount;
 import java.util.BitSet;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -41,6 +42,9 @@
   /** What one task takes. */
   final Resources need;
 
+  /** The same, as stored limits count it. */
+  final Amount amount;
+
   long mark;
   boolean stop;
   boolean ending;
@@ -89,6 +93,7 @@
   Job(JobSpec spec, long mark, boolean stop, double now) {
     this.spec = spec;
     this.need = Resources.of(spec);
+    this.amount = need.amount();
     this.mark = mark;
     this.stop = stop;
     this.waitingSince = now;
--- a/src/main/java/graderelay/core/Ledger.java
+++ b/src/main/java/graderelay/core/Ledger.java
@@ -1,6 +1,8 @@
 package graderelay.core;
 
 import graderelay.constants.Constants;
+import graderelay.quota.AccountChange;
+import graderelay.quota.Amount;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -57,6 +59,7 @@
     if (mark <= s.mark) {
       return;
     }
+    track(j, s.key, record, mark);
     if (s.inFlight) {
       s.stash = record;
       s.stashMark = mark;
@@ -135,6 +138,7 @@
       world.remove(c, now);
     }
     world.jobs.remove(j.spec.id());
+    world.admission.committed().removeJob(j.spec.id());
     world.dependencies.gone(j);
     world.stopped.remove(j);
     world.maybeOver.remove(j);
@@ -191,9 +195,45 @@
         orphans.putIfAbsent(d.key(), d.mark());
       }
     }
+    accountsAnswered(s.write().accounts(), outcome, mark);
     world.dirty = true;
   }
 
+  /** What the transaction's slices say has been taken before. */
+  private void accountsAnswered(
+      List<AccountChange> accounts, Scheduler.Outcome outcome, long revision) {
+    switch (outcome) {
+      case COMMITTED -> world.admission.committed(accounts, revision);
+      case REFUSED -> world.admission.refused(accounts);
+      case UNKNOWN -> world.admission.unanswered(accounts);
+    }
+  }
+
+  /** Counts what a slice's committed claims take, where stored limits are switched on. */
+  private void track(Job j, SliceKey key, SliceRecord r, long mark) {
+    if (world.admission.enabled()) {
+      Amount use = j.amount.times(r.claimedCount());
+      world.admission.committed().put(j.spec.id(), key.index(), j.spec.team(), mark, use);
+    }
+  }
+
+  /** Stored limits are switched on: counts all claims that are known. */
+  void trackAll() {
+    for (Job j : world.jobs.values()) {
+      for (Job.Slice s : j.slices.values()) {
+        boolean newer = s.stash != null && s.stashMark > s.mark;
+        if (newer || s.mark > 0) {
+          track(j, s.key, newer ? s.stash : s.record, newer ? s.stashMark : s.mark);
+        }
+      }
+      for (Claim c : j.claims.values()) {
+        if (c.phase == Claim.Phase.CLAIMING) {
+          world.admission.placed(j.spec.team(), j.amount);
+        }
+      }
+    }
+  }
+
   private void sliceAnswered(
       Job j, Action.SlicePut p, Sending sent, Scheduler.Outcome outcome, long mark, double now) {
     Job.Slice s = j.slices.get(p.key().index());
@@ -214,6 +254,7 @@
     if (landed) {
       s.record = p.record();
       s.mark = mark;
+      track(j, s.key, s.record, mark);
       for (Claim c : settled) {
         settle.remove(c);
         world.remove(c, now);
@@ -226,7 +267,7 @@
       }
       for (Claim c : claimed) {
         if (c.phase == Claim.Phase.CLAIMING) {
-          c.phase = Claim.Phase.HELD;
+          world.held(c);
           committed.add(c);
         }
       }
@@ -245,20 +286,46 @@
   /** Puts new claims and settled ones into transactions, one record for each slice. */
   void write(List<Claim> claims, double now) {
     Map<Job.Slice, List<Claim>> claimed = new LinkedHashMap<>();
-    Map<Job.Slice, List<Claim>> settled = new LinkedHashMap<>();
-    Set<Job.Slice> all = new LinkedHashSet<>();
     for (Claim c : claims) {
-      Job.Slice s = c.job.slice(c.job.spec.sliceOf(c.task));
-      claimed.computeIfAbsent(s, k -> new ArrayList<>()).add(c);
-      all.add(s);
+      claimed.computeIfAbsent(sliceOf(c), k -> new ArrayList<>()).add(c);
     }
-    int room = mostChangesOut() - changesOut - all.size();
+    Map<Job.Slice, List<Claim>> settled = settledBeside(claimed.keySet(), now);
+    Set<Job.Slice> all = new LinkedHashSet<>(claimed.keySet());
+    all.addAll(settled.keySet());
+    TransactionPacker packer =
+        new TransactionPacker(
+            Math.max(1, world.policy.txnOps()), world.admission.enabled(), this::send);
+    for (Job.Slice s : all) {
+      List<Claim> fresh = claimed.getOrDefault(s, List.of());
+      List<Claim> done = settled.getOrDefault(s, List.of());
+      SliceChange change = change(s, fresh, done, now);
+      if (change != null && !packer.add(change)) {
+        // The next change of its team's account takes these claims along.
+        giveUp(fresh, now);
+        change = change(s, List.of(), done, now);
+        if (change != null) {
+          packer.add(change);
+        }
+      }
+    }
+    packer.flush();
+    writeAccounts(now);
+  }
+
+  private static Job.Slice sliceOf(Claim c) {
+    return c.job.slice(c.job.spec.sliceOf(c.task));
+  }
+
+  /** Claims that are to be ended now, with the slices that are claimed of or beside them. */
+  private Map<Job.Slice, List<Claim>> settledBeside(Set<Job.Slice> claimed, double now) {
+    Map<Job.Slice, List<Claim>> settled = new LinkedHashMap<>();
+    int room = mostChangesOut() - changesOut - claimed.size();
     Map<Job, Boolean> whole = new HashMap<>();
     // When hundreds of machines die at once, replicas are down until their ends have committed.
     List<Claim> ends = new ArrayList<>(settle);
     ends.sort(Comparator.comparing(c -> !c.job.spec.isService()));
     for (Claim c : ends) {
-      Job.Slice s = c.job.slice(c.job.spec.sliceOf(c.task));
+      Job.Slice s = sliceOf(c);
       if (c.job.stop) {
         // The whole job ends in one write; until then a new owner asks for the proof again.
         if (!s.inFlight) {
@@ -272,59 +339,62 @@
       }
       // Ends wait for the changes that are left beside the claims; meanwhile more of a slice's
       // tasks end, and one change says it of all.
-      if (!all.contains(s) && room-- <= 0) {
+      if (!claimed.contains(s) && !settled.containsKey(s) && room-- <= 0) {
         continue;
       }
       settled.computeIfAbsent(s, k -> new ArrayList<>()).add(c);
-      all.add(s);
     }
-    List<Action.SlicePut> puts = new ArrayList<>();
-    int bytes = 0;
-    int most = Math.max(1, world.policy.txnOps());
-    for (Job.Slice s : all) {
-      SliceRecord r = s.record.copy();
-      List<Claim> done = settled.getOrDefault(s, List.of());
-      List<Claim> fresh = claimed.getOrDefault(s, List.of());
-      Job j = world.jobs.get(s.key.job());
-      for (Claim c : done) {
-        r.release(c.task - s.base, c.done);
-      }
-      for (Claim c : fresh) {
-        r.claim(c.task - s.base, c.attempt, c.machine, c.session);
-      }
-      int valueBytes = world.policy.valueBytes();
-      SliceRecord fitting = fitting(r, valueBytes);
-      if (fitting == null) {
-        // Made by an earlier version for larger values. What is claimed of it ends sooner or later,
-        // and then there is room in it again.
-        s.fullUntil = now + Constants.FULL_SLICE_S;
-        for (Claim c : fresh) {
-          world.remove(c, now);
-          j.open.set(c.task);
-        }
-        claimed.remove(s);
-        r = s.record.copy();
-        for (Claim c : done) {
-          r.release(c.task - s.base, c.done);
-        }
-        fitting = done.isEmpty() ? null : fitting(r, valueBytes);
-        if (fitting == null) {
-          continue; // What is settled stays so, and is written with what ends next.
-        }
-      }
-      r = fitting;
-      int size = r.size() * Constants.SLICE_BYTES_PER_TASK;
-      if (puts.size() >= most || (bytes + size > Constants.TXN_BYTES && !puts.isEmpty())) {
-        send(puts, claimed, settled);
-        puts = new ArrayList<>();
-        bytes = 0;
-      }
-      s.inFlight = true;
-      puts.add(new Action.SlicePut(s.key, s.mark, r, j.mark));
-      bytes += size;
+    return settled;
+  }
+
+  /** The slice with these claims and without those, or null if nothing can be stored of it. */
+  private SliceChange change(Job.Slice s, List<Claim> fresh, List<Claim> done, double now) {
+    if (fresh.isEmpty() && done.isEmpty()) {
+      return null;
+    }
+    SliceRecord r = s.record.copy();
+    for (Claim c : done) {
+      r.release(c.task - s.base, c.done);
+    }
+    for (Claim c : fresh) {
+      r.claim(c.task - s.base, c.attempt, c.machine, c.session);
     }
-    if (!puts.isEmpty()) {
-      send(puts, claimed, settled);
+    SliceRecord fitting = fitting(r, world.policy.valueBytes());
+    if (fitting != null) {
+      return new SliceChange(world.jobs.get(s.key.job()), s, fitting, fresh, done);
+    }
+    // Made by an earlier version for larger values. What is claimed of it ends sooner or later,
+    // and then there is room in it again. What is settled stays so, and is written with what ends
+    // next.
+    s.fullUntil = now + Constants.FULL_SLICE_S;
+    giveUp(fresh, now);
+    return fresh.isEmpty() ? null : change(s, List.of(), done, now);
+  }
+
+  /** Takes claims back that were never sent. */
+  private void giveUp(List<Claim> claims, double now) {
+    for (Claim c : claims) {
+      world.remove(c, now);
+      c.job.open.set(c.task);
+    }
+  }
+
+  /** Settles accounts that somebody waits for, and lowers those that nobody claims for. */
+  private void writeAccounts(double now) {
+    if (!world.admission.enabled()) {
+      return;
+    }
+    int most = Math.max(1, world.policy.txnOps());
+    emitAccounts(world.admission.settlements(most));
+    emitAccounts(world.admission.releases(Math.min(most, changesLeft()), now));
+  }
+
+  private void emitAccounts(List<AccountChange> accounts) {
+    if (!accounts.isEmpty()) {
+      emit(
+          new Action.Write(nextWrite++, List.of(), List.of(), List.of(), accounts),
+          Map.of(),
+          Map.of());
     }
   }
 
@@ -336,18 +406,22 @@
     return r.bytes(true) <= valueBytes ? r.packedCopy() : null;
   }
 
-  private void send(
-      List<Action.SlicePut> puts,
-      Map<Job.Slice, List<Claim>> claimed,
-      Map<Job.Slice, List<Claim>> settled) {
-    Map<SliceKey, List<Claim>> c = new HashMap<>();
-    Map<SliceKey, List<Claim>> s = new HashMap<>();
-    for (Action.SlicePut p : puts) {
-      Job.Slice slice = world.jobs.get(p.key().job()).slices.get(p.key().index());
-      c.put(p.key(), claimed.getOrDefault(slice, List.of()));
-      s.put(p.key(), settled.getOrDefault(slice, List.of()));
+  private void send(List<SliceChange> changes, Map<String, Amount> claims) {
+    Map<SliceKey, List<Claim>> claimed = new HashMap<>();
+    Map<SliceKey, List<Claim>> settled = new HashMap<>();
+    List<Action.SlicePut> puts = new ArrayList<>();
+    for (SliceChange c : changes) {
+      claimed.put(c.slice().key, c.claimed());
+      settled.put(c.slice().key, c.settled());
+      puts.add(c.put());
+      c.slice().inFlight = true;
     }
-    emit(new Action.Write(nextWrite++, List.copyOf(puts), List.of(), List.of()), c, s);
+    List<AccountChange> accounts = new ArrayList<>();
+    claims.forEach((team, amount) -> accounts.add(world.admission.claim(team, amount)));
+    emit(
+        new Action.Write(nextWrite++, List.copyOf(puts), List.of(), List.of(), accounts),
+        claimed,
+        settled);
   }
 
   private void emit(Action.Write w, Map<SliceKey, List<Claim>> c, Map<SliceKey, List<Claim>> s) {
@@ -357,7 +431,7 @@
   }
 
   private static int changes(Action.Write w) {
-    int n = w.slices().size() + w.drops().size();
+    int n = w.slices().size() + w.drops().size() + w.accounts().size();
     for (Action.JobEnd e : w.ends()) {
       n += 2 + e.slices().size();
     }
@@ -425,7 +499,10 @@
     j.ending = true;
     Action.JobEnd e =
         new Action.JobEnd(j.spec.id(), j.mark, j.stop, j.spec.tasks(), List.copyOf(drops));
-    emit(new Action.Write(nextWrite++, List.of(), List.of(e), List.of()), Map.of(), Map.of());
+    emit(
+        new Action.Write(nextWrite++, List.of(), List.of(e), List.of(), List.of()),
+        Map.of(),
+        Map.of());
   }
 
   private long cancelledEndsOut() {
@@ -446,7 +523,7 @@
       drops.add(new Action.SliceDrop(e.getKey(), e.getValue()));
       it.remove();
     }
-    emit(new Action.Write(nextWrite++, List.of(), List.of(), drops), Map.of(), Map.of());
+    emit(new Action.Write(nextWrite++, List.of(), List.of(), drops, List.of()), Map.of(), Map.of());
   }
 
   private boolean orphanWriteOpen() {
--- a/src/main/java/graderelay/core/Placer.java
+++ b/src/main/java/graderelay/core/Placer.java
@@ -1,6 +1,7 @@
 package graderelay.core;
 
 import graderelay.constants.Constants;
+import graderelay.quota.Obstacle;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.EnumMap;
@@ -71,6 +72,7 @@
     }
     world.looked += world.machines.size();
     waiting.sort(null);
+    keepLimits(now);
     int left = changes;
     reserve(waiting);
     List<Machine> roomy = withRoom(usable, waiting);
@@ -121,6 +123,59 @@
 
   private static final double PAUSE = Constants.NO_ROOM_PAUSE_S;
 
+  /** By team, the job for whose first task room is kept below the team's stored limit. */
+  private final Map<String, Job> limitKept = new HashMap<>();
+
+  /**
+   * A job as large as its team's limit would never begin beside a stream of small ones, each of
+   * which takes what the last one gave back.
+   */
+  private void keepLimits(double now) {
+    limitKept.clear();
+    if (!world.admission.enabled()) {
+      return;
+    }
+    for (Job j : world.jobs.values()) {
+      if (j.waiting() && waitingWins(j, now) && world.admission.allows(j.spec.team(), j.amount)) {
+        limitKept.merge(j.spec.team(), j, Placer::goesBefore);
+      }
+    }
+  }
+
+  private static Job goesBefore(Job a, Job b) {
+    int order = a.priority().compareTo(b.priority());
+    boolean first = order != 0 ? order < 0 : a.submittedAt <= b.submittedAt;
+    return first ? a : b;
+  }
+
+  /** True if the team's limit has room for one more task beside what is kept below it. */
+  private boolean limitAllows(Job j) {
+    Job kept = limitKept.get(j.spec.team());
+    boolean keeps = kept != null && kept != j && !j.priority().beats(kept.priority());
+    return world.withinLimit(j.spec.team(), keeps ? j.need.plus(kept.need) : j.need);
+  }
+
+  private String limitReason(Job j) {
+    String team = j.spec.team();
+    if (!world.admission.allows(team, j.amount)) {
+      return "a task needs " + j.amount + ", which the stored limits of team " + team + " forbid";
+    }
+    return "team " + team + " is at its limit";
+  }
+
+  /** True if nothing of the job's team may be claimed at the moment. */
+  private boolean obstructed(Job j) {
+    Obstacle obstacle = world.admission.obstacle(j.spec.team());
+    if (obstacle == null) {
+      return false;
+    }
+    if (obstacle.passing()) {
+      world.admission.wantSettled(j.spec.team());
+    }
+    j.waitReason = obstacle.reason();
+    return true;
+  }
+
   /**
    * The machines on which the smallest task that waits may fit. Room only shrinks while a round
    * places, so nobody finds any on the others; on a busy fleet those are most, and each job that
@@ -290,6 +345,9 @@
               : "backing off after failures";
       return 0;
     }
+    if (obstructed(j)) {
+      return 0;
+    }
     if (most <= 0) {
       j.waitReason = "room is kept for work above it";
       j.noRoomAt = world.roomVersion;
@@ -315,8 +373,8 @@
         t = (j.spec.sliceOf(t) + 1) * j.spec.sliceCap() - 1;
         continue;
       }
-      if (!world.withinLimit(j.spec.team(), j.need)) {
-        j.waitReason = "team " + j.spec.team() + " is at its limit";
+      if (!limitAllows(j)) {
+        j.waitReason = limitReason(j);
         return changed;
       }
       if (fit == null) {
@@ -381,8 +439,11 @@
     }
   }
 
-  /** Open tasks of the job whose record is being changed. */
-  private static int blocked(Job j) {
+  /** Open tasks of the job whose record, or team's account, is being changed. */
+  private int blocked(Job j) {
+    if (world.admission.isPassing(j.spec.team())) {
+      return j.open.cardinality();
+    }
     int n = 0;
     for (Job.Slice s : j.slices.values()) {
       n += s.inFlight ? j.open.get(s.base, s.base + s.record.size()).cardinality() : 0;
@@ -602,6 +663,9 @@
     if (wanted <= 0 || !(guaranteed || world.byPriority.hasBelow(j.priority()))) {
       return;
     }
+    if (world.admission.isStopped(j.spec.team()) || !limitAllows(j)) {
+      return;
+    }
     if (!guaranteed && atLeisure.contains(j)) {
       // Each task of it may cost dozens of small ones their work, and two changes each.
       return;
--- a/src/main/java/graderelay/core/Policy.java
+++ b/src/main/java/graderelay/core/Policy.java
@@ -59,9 +59,18 @@
     return with(tuning, Math.min(valueBytes, bytes), Math.min(changesPerS, changes));
   }
 
+  /** The same with other guarantees and limits. */
+  Policy with(List<Team> others) {
+    return with(others, tuning, valueBytes, changesPerS);
+  }
+
   private Policy with(Tuning t, int bytes, double changes) {
+    return with(teams, t, bytes, changes);
+  }
+
+  private Policy with(List<Team> itsTeams, Tuning t, int bytes, double changes) {
     return new Policy(
-        teams,
+        itsTeams,
         deputies,
         grantS,
         reportS,
--- a/src/main/java/graderelay/core/Resources.java
+++ b/src/main/java/graderelay/core/Resources.java
@@ -1,5 +1,7 @@
 package graderelay.core;
 
+import graderelay.quota.Amount;
+
 /** Amounts of a machine's resources. */
 public record Resources(double cpus, double gpus, double memGb) {
   /** Decimal amounts are summed up in floating point; this much of a unit is rounding, not need. */
@@ -15,6 +17,11 @@
     return new Resources(t.cpus(), t.gpus(), t.memGb());
   }
 
+  /** The same in exact sums, as stored limits count it. */
+  Amount amount() {
+    return Amount.needed(cpus, gpus);
+  }
+
   Resources plus(Resources o) {
     return new Resources(cpus + o.cpus, gpus + o.gpus, memGb + o.memGb);
   }
--- a/src/main/java/graderelay/core/Scheduler.java
+++ b/src/main/java/graderelay/core/Scheduler.java
@@ -1,6 +1,10 @@
 package graderelay.core;
 
 import graderelay.constants.Constants;
+import graderelay.quota.Amount;
+import graderelay.quota.Difference;
+import graderelay.quota.StoredQuota;
+import graderelay.quota.TeamStanding;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashSet;
@@ -44,11 +48,16 @@
   private final WorkerCommands orders;
   private final TerminationProof proof;
 
+  /** Guarantees and limits of the settings, which count while none are stored. */
+  private final List<Team> settingsTeams;
+
+  private double lastAccountCheck = Double.NEGATIVE_INFINITY;
   private double lastRound = Double.NEGATIVE_INFINITY;
   private double lastPlan = Double.NEGATIVE_INFINITY;
 
   public Scheduler(Policy policy, long term, RandomGenerator random, double now) {
     this.world = new ClusterState(policy);
+    this.settingsTeams = policy.teams();
     this.placer = new Placer(world, random);
     this.planner = new FleetPlanner(world, now);
     world.term = term;
@@ -161,6 +170,53 @@
     world.policy = world.policy.within(valueBytes, changesPerS);
   }
 
+  /**
+   * The stored limits and accounts, or null while they are switched off; to be told after the
+   * slices of the same moment.
+   */
+  public void onQuota(StoredQuota stored) {
+    world.dirty = true;
+    if (stored == null) {
+      if (world.admission.enabled()) {
+        world.admission.disable();
+        world.policy = world.policy.with(settingsTeams);
+      }
+      return;
+    }
+    if (!world.admission.enabled()) {
+      world.admission.enable();
+      ledger.trackAll();
+    }
+    world.admission.update(stored);
+    world.policy = world.policy.with(stored.seeded() ? teams(stored) : settingsTeams);
+    tellDifferences();
+  }
+
+  private static List<Team> teams(StoredQuota stored) {
+    List<Team> teams = new ArrayList<>();
+    stored
+        .limits()
+        .forEach(
+            (name, record) -> {
+              if (record.isReadable()) {
+                teams.add(Team.of(name, record.quota()));
+              }
+            });
+    return teams;
+  }
+
+  private void tellDifferences() {
+    for (Difference d : world.admission.takeDifferences()) {
+      world.out.add(new Action.DifferenceFound(d));
+    }
+  }
+
+  /** An operator wants a team's account written anew from its committed claims. */
+  public void replaceAccount(String team) {
+    world.admission.replaceAccount(team);
+    world.dirty = true;
+  }
+
   /** What an earlier owner kept of the demand. */
   public void onDemand(List<Action.Demand> classes, double now) {
     classes.forEach(d -> planner.onDemand(d, now));
@@ -343,10 +399,15 @@
       planner.plan(now);
       placer.planned(planner.steppingBack(), planner.atLeisure());
     }
+    if (now - lastAccountCheck >= Constants.ACCOUNT_CHECK_EVERY_S) {
+      lastAccountCheck = now;
+      world.admission.check();
+    }
     if (now - lastRound >= Constants.ROUND_AT_LEAST_EVERY_S) {
       world.dirty = true;
     }
     step(now);
+    tellDifferences();
   }
 
   public long term() {
@@ -450,6 +511,32 @@
     return Map.copyOf(world.teamUse);
   }
 
+  /**
+   * How a team stands with its stored limit.
+   *
+   * @param waitingTasks tasks of the team that wait for a claim
+   * @param waiting what those would take
+   */
+  public record TeamUsage(TeamStanding standing, long waitingTasks, Amount waiting) {}
+
+  /** What the claims of a team take while limits are not stored. */
+  public Amount teamClaims(String team) {
+    return world.use(team).amount();
+  }
+
+  /** How a team stands; for the administration API. */
+  public TeamUsage teamUsage(String team) {
+    long tasks = 0;
+    Amount waiting = Amount.NONE;
+    for (Job j : world.jobs.values()) {
+      if (j.waiting() && j.spec.team().equals(team)) {
+        tasks += j.open.cardinality();
+        waiting = waiting.plus(j.amount.times(j.open.cardinality()));
+      }
+    }
+    return new TeamUsage(world.admission.standing(team), tasks, waiting);
+  }
+
   /** Why a job has tasks that wait, or null if it is not known or has none. */
   public String whyWaiting(String job) {
     Job j = world.jobs.get(job);
--- a/src/main/java/graderelay/core/Team.java
+++ b/src/main/java/graderelay/core/Team.java
@@ -1,4 +1,19 @@
 package graderelay.core;
 
+import graderelay.quota.Amount;
+import graderelay.quota.TeamQuota;
+
 /** A team's guarantee and limit; 0 means none. */
-public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
+public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {
+  /** The team with a stored quota. */
+  public static Team of(String name, TeamQuota quota) {
+    Amount guarantee = quota.guarantee();
+    Amount limit = quota.limit();
+    return new Team(name, guarantee.cpus(), limit.cpus(), guarantee.gpus(), limit.gpus());
+  }
+
+  /** Its guarantee and limit as they are stored. */
+  public TeamQuota quota() {
+    return new TeamQuota(Amount.granted(cpus, gpus), Amount.granted(cpusMax, gpusMax));
+  }
+}
--- a/src/main/java/graderelay/features/Feature.java
+++ b/src/main/java/graderelay/features/Feature.java
@@ -17,13 +17,16 @@
   SEALED_ELECTION(1),
 
   /** Hints for the next leader, images and demand, are written in a compressed form. */
-  COMPACT_HINTS(2);
+  COMPACT_HINTS(2),
+
+  /** Limits and guarantees of teams are stored, with an account of what each team's claims take. */
+  STORED_LIMITS(3);
 
   /** The level before all features: what versions without feature levels do. */
   public static final int BASE_LEVEL = 0;
 
   /** The highest level that this program supports. */
-  public static final int LATEST_LEVEL = COMPACT_HINTS.level;
+  public static final int LATEST_LEVEL = STORED_LIMITS.level;
 
   private final int level;
 
--- /dev/null
+++ b/src/main/java/graderelay/quota/Amount.java
@@ -0,0 +1,91 @@
+package graderelay.quota;
+
+import java.math.BigDecimal;
+import java.math.RoundingMode;
+
+/**
+ * CPUs and GPUs in integer thousandths, so that sums are exact whatever their order.
+ *
+ * @param cpuMillis thousandths of a CPU
+ * @param gpuMillis thousandths of a GPU
+ */
+public record Amount(long cpuMillis, long gpuMillis) {
+  /** Thousandths of one unit. */
+  public static final long MILLIS = 1000;
+
+  /** Nothing; as a limit, none. */
+  public static final Amount NONE = new Amount(0, 0);
+
+  /** Decimal amounts come as binary floating point; this part of a thousandth is rounding. */
+  private static final double ROUNDING = 1e-6;
+
+  /** What a task needs, rounded up: it never counts as less than it takes. */
+  public static Amount needed(double cpus, double gpus) {
+    return new Amount(up(cpus), up(gpus));
+  }
+
+  /** What is allowed or promised, rounded down: it never counts as more than was given. */
+  public static Amount granted(double cpus, double gpus) {
+    return new Amount(down(cpus), down(gpus));
+  }
+
+  private static long up(double units) {
+    return (long) Math.ceil(units * MILLIS - ROUNDING);
+  }
+
+  private static long down(double units) {
+    return (long) Math.floor(units * MILLIS + ROUNDING);
+  }
+
+  /** Thousandths of a decimal number that is known to have no further digits. */
+  public static long millis(BigDecimal units) {
+    return units
+        .multiply(BigDecimal.valueOf(MILLIS))
+        .setScale(0, RoundingMode.UNNECESSARY)
+        .longValue();
+  }
+
+  /** CPUs, as people write them. */
+  public double cpus() {
+    return cpuMillis / (double) MILLIS;
+  }
+
+  /** GPUs, as people write them. */
+  public double gpus() {
+    return gpuMillis / (double) MILLIS;
+  }
+
+  public Amount plus(Amount other) {
+    return new Amount(cpuMillis + other.cpuMillis, gpuMillis + other.gpuMillis);
+  }
+
+  public Amount minus(Amount other) {
+    return new Amount(cpuMillis - other.cpuMillis, gpuMillis - other.gpuMillis);
+  }
+
+  public Amount times(int count) {
+    return new Amount(cpuMillis * count, gpuMillis * count);
+  }
+
+  /** True if neither part is below the other's. */
+  public boolean covers(Amount other) {
+    return cpuMillis >= other.cpuMillis && gpuMillis >= other.gpuMillis;
+  }
+
+  /** The part that exceeds another amount, with nothing below zero. */
+  public Amount beyond(Amount other) {
+    return new Amount(
+        Math.max(0, cpuMillis - other.cpuMillis), Math.max(0, gpuMillis - other.gpuMillis));
+  }
+
+  public boolean isNegative() {
+    return cpuMillis < 0 || gpuMillis < 0;
+  }
+
+  @Override
+  public String toString() {
+    String cpus = BigDecimal.valueOf(cpuMillis, 3).stripTrailingZeros().toPlainString();
+    String gpus = BigDecimal.valueOf(gpuMillis, 3).stripTrailingZeros().toPlainString();
+    return gpuMillis == 0 ? cpus + " CPUs" : cpus + " CPUs and " + gpus + " GPUs";
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/quota/Difference.java
@@ -0,0 +1,39 @@
+package graderelay.quota;
+
+/**
+ * An account that is not what it should be. It is told of and never mended in silence.
+ *
+ * @param found what the account says
+ * @param claims what the committed claims of the team take
+ */
+public record Difference(String team, Kind kind, Amount found, Amount claims) {
+  /** What is wrong. */
+  public enum Kind {
+    /** The account says less than the committed claims take. */
+    BELOW_CLAIMS("says less than its committed claims take"),
+    /** Somebody other than this leader has changed the account. */
+    CHANGED_BY_OTHERS("was changed by somebody else"),
+    /** The record can't be read. */
+    MALFORMED("can't be read"),
+    /** The claims take more than the limit, as happens after the limit was lowered. */
+    ABOVE_LIMIT("is above the team's limit");
+
+    private final String text;
+
+    Kind(String text) {
+      this.text = text;
+    }
+  }
+
+  @Override
+  public String toString() {
+    return "the account of team "
+        + team
+        + " "
+        + kind.text
+        + ": it says "
+        + found
+        + ", the claims take "
+        + claims;
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/quota/TeamQuota.java
@@ -0,0 +1,29 @@
+package graderelay.quota;
+
+/**
+ * What one team may use.
+ *
+ * @param guarantee what it need not wait for; zero for none
+ * @param limit what it may use at most; a zero part is no limit
+ */
+public record TeamQuota(Amount guarantee, Amount limit) {
+  /** A team without guarantee and limit. */
+  public static final TeamQuota UNLIMITED = new TeamQuota(Amount.NONE, Amount.NONE);
+
+  /** True if the team may use so much. */
+  public boolean allows(Amount use) {
+    return within(use.cpuMillis(), limit.cpuMillis()) && within(use.gpuMillis(), limit.gpuMillis());
+  }
+
+  private static boolean within(long use, long limit) {
+    return limit == 0 || use <= limit;
+  }
+
+  /** True if the guarantee is no more than the limit. */
+  public boolean isConsistent() {
+    return !guarantee.isNegative()
+        && !limit.isNegative()
+        && within(guarantee.cpuMillis(), limit.cpuMillis())
+        && within(guarantee.gpuMillis(), limit.gpuMillis());
+  }
+}
--- a/src/main/java/graderelay/service/FeatureDuty.java
+++ b/src/main/java/graderelay/service/FeatureDuty.java
@@ -51,7 +51,7 @@
     this.loop = loop;
     this.gate = cache.features().gate();
     this.cache = cache;
-    ClusterStore store = new FeatureStore(state, cache, leadership, settings);
+    ClusterStore store = new FeatureStore(state, cache, leadership, settings, loop::wallMs);
     List<String> peers = new ArrayList<>();
     settings.peers().forEach(p -> peers.add(p.member()));
     Member self =
--- a/src/main/java/graderelay/service/FeatureStore.java
+++ b/src/main/java/graderelay/service/FeatureStore.java
@@ -1,6 +1,7 @@
 package graderelay.service;
 
 import graderelay.config.Settings;
+import graderelay.core.Team;
 import graderelay.features.ClusterLevel;
 import graderelay.features.ClusterStore;
 import graderelay.features.Feature;
@@ -10,16 +11,19 @@
 import graderelay.state.FeatureRecords;
 import graderelay.state.Leadership;
 import graderelay.state.LevelChange;
+import graderelay.state.QuotaRecords;
 import graderelay.state.StateClient;
 import graderelay.state.StateClient.How;
 import graderelay.wire.FeatureCodec;
 import graderelay.wire.Json;
+import graderelay.wire.QuotaCodec;
 import graderelay.wire.StateCodec;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 /** The records behind the duty for feature levels, in the state service. */
 final class FeatureStore implements ClusterStore {
@@ -28,8 +32,19 @@
   private final Leadership leadership;
   private final List<String> members = new ArrayList<>();
   private final int mostChanges;
-
-  FeatureStore(StateClient state, Cache cache, Leadership leadership, Settings settings) {
+  private final String member;
+  private final List<Team> teams;
+  private final LongSupplier clock;
+
+  FeatureStore(
+      StateClient state,
+      Cache cache,
+      Leadership leadership,
+      Settings settings,
+      LongSupplier clock) {
+    this.member = settings.member();
+    this.teams = settings.teams();
+    this.clock = clock;
     this.state = state;
     this.cache = cache;
     this.leadership = leadership;
@@ -103,6 +118,7 @@
     return switch (feature) {
       case SEALED_ELECTION -> StateCodec.BARS;
       case COMPACT_HINTS -> FeatureCodec.HINTS;
+      case STORED_LIMITS -> QuotaCodec.ROOT;
     };
   }
 
@@ -134,7 +150,29 @@
     switch (feature) {
       case SEALED_ELECTION -> sealMembers(done);
       case COMPACT_HINTS -> removePlainHints(done);
+      case STORED_LIMITS -> storeLimits(done);
+    }
+  }
+
+  /** Stores the limits of the settings, and that they are complete with the last of them. */
+  private void storeLimits(Consumer<Boolean> done) {
+    QuotaRecords quota = cache.quota();
+    if (quota.isSeeded()) {
+      done.accept(true);
+      return;
+    }
+    List<Team> missing = new ArrayList<>();
+    teams.stream().filter(t -> quota.limits(t.name()) == null).forEach(missing::add);
+    StateClient.Txn txn = asLeader();
+    List<Team> now = missing.subList(0, Math.min(missing.size(), mostChanges - 1));
+    for (Team t : now) {
+      String key = QuotaCodec.limitKey(t.name());
+      txn.when(key, 0).put(key, QuotaCodec.limits(t.quota(), member, clock.getAsLong()));
+    }
+    if (now.size() == missing.size()) {
+      txn.when(QuotaCodec.SEEDED, 0).put(QuotaCodec.SEEDED, Json.object());
     }
+    commit(txn, outcome -> done.accept(false));
   }
 
   /** Suspends every member in the layout that only older versions read. */
--- a/src/main/java/graderelay/service/FleetController.java
+++ b/src/main/java/graderelay/service/FleetController.java
@@ -14,8 +14,10 @@
 import graderelay.core.Scheduler.Sent;
 import graderelay.core.SliceKey;
 import graderelay.core.WorkerCommand;
+import graderelay.features.Feature;
 import graderelay.net.Loop;
 import graderelay.net.TokenBucket.Use;
+import graderelay.quota.AccountChange;
 import graderelay.state.Cache;
 import graderelay.state.CancellationResolver;
 import graderelay.state.FinalStateLookup;
@@ -24,6 +26,7 @@
 import graderelay.state.StateClient.How;
 import graderelay.wire.PeerAnswer;
 import graderelay.wire.PeerRequest;
+import graderelay.wire.QuotaCodec;
 import graderelay.wire.StateCodec;
 import graderelay.worker.WorkerClient;
 import java.util.List;
@@ -111,6 +114,7 @@
     if (demand != null) {
       core.onDemand(StateCodec.demand(demand, loop.wallMs()), now);
     }
+    onQuota();
     core.loaded(now);
     list();
     tick();
@@ -178,6 +182,19 @@
     stepSoon();
   }
 
+  /** Stored limits or accounts have changed; the slices of the same moment were told before. */
+  void onQuota() {
+    boolean on = cache.features().gate().enabled(Feature.STORED_LIMITS);
+    core.onQuota(on ? cache.quota().asOf(cache.revisionSeen()) : null);
+    stepSoon();
+  }
+
+  /** An operator wants a team's account written anew from its committed claims. */
+  void replaceAccount(String team) {
+    core.replaceAccount(team);
+    stepSoon();
+  }
+
   void onTypes(List<MachineType> types) {
     core.onTypes(types);
     stepSoon();
@@ -288,6 +305,9 @@
           metrics.span("graderelay.queue.wait", seen.waitedS());
         }
         metrics.count("graderelay.tasks", "outcome", seen.what());
+      } else if (a instanceof Action.DifferenceFound d) {
+        LOG.error("{}", d.difference());
+        metrics.count("graderelay.quota.differences", "team", d.difference().team());
       } else if (a instanceof Action.Write w) {
         write(w);
       } else if (a instanceof Action.Command c) {
@@ -339,9 +359,18 @@
       String s = StateCodec.sliceKey(d.key());
       txn.when(s, d.mark()).drop(s);
     }
+    w.accounts().forEach(c -> putAccount(txn, c));
     state.commit(txn, Use.CLAIM, r -> written(w.id(), r));
   }
 
+  private static void putAccount(StateClient.Txn txn, AccountChange c) {
+    String key = QuotaCodec.accountKey(c.team());
+    txn.when(key, c.onRevision()).put(key, QuotaCodec.account(c.use()));
+    if (c.dependsOnLimits()) {
+      txn.when(QuotaCodec.limitKey(c.team()), c.onLimits());
+    }
+  }
+
   private void written(long id, StateClient.Result r) {
     if (closed) {
       return;
--- a/src/main/java/graderelay/service/Metrics.java
+++ b/src/main/java/graderelay/service/Metrics.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
 
 /**
@@ -24,11 +25,15 @@
   /** Something whose present value is asked for. */
   private record Source(String name, Tags tags, ToDoubleFunction<Metrics> value) {}
 
+  /** A value of the moment; which there are may change. */
+  record Reading(String name, Tags tags, double value) {}
+
   private record Span(String name, double seconds) {}
 
   private final Loop loop;
   private final Map<String, Long> counts = new HashMap<>();
   private final List<Source> sources = new ArrayList<>();
+  private final List<Supplier<List<Reading>>> readings = new ArrayList<>();
   private final List<Span> unread = new ArrayList<>();
   private PrometheusMeterRegistry registry;
   private boolean closed;
@@ -75,6 +80,11 @@
     sources.add(new Source(name, tags, value));
   }
 
+  /** Values that are asked for each time that somebody reads the metrics. */
+  void readings(Supplier<List<Reading>> source) {
+    readings.add(source);
+  }
+
   void bucket(String name, TokenBucket b) {
     Tags t = Tags.of("bucket", name);
     gauge("graderelay.tokens.waiting", t, m -> b.waiting());
@@ -103,6 +113,7 @@
           String[] p = k.split("\\|", 3);
           show(p[0], Tags.of(p[1], p[2]), n);
         });
+    readings.forEach(r -> r.get().forEach(v -> show(v.name(), v.tags(), v.value())));
     if (core != null) {
       Map<String, Long> fleet = new HashMap<>();
       for (Scheduler.MachineView m : core.machines(loop.now())) {
--- a/src/main/java/graderelay/service/Node.java
+++ b/src/main/java/graderelay/service/Node.java
@@ -4,6 +4,7 @@
 import graderelay.api.AdminApi;
 import graderelay.api.FeaturesApi;
 import graderelay.api.MeshApi;
+import graderelay.api.QuotaApi;
 import graderelay.api.UserApi;
 import graderelay.cloud.CloudClient;
 import graderelay.config.Logs;
@@ -20,21 +21,19 @@
 import graderelay.mesh.MeshClient;
 import graderelay.mesh.RequestHedger;
 import graderelay.net.Exchange;
-import graderelay.net.Exchange.Answer;
 import graderelay.net.Loop;
 import graderelay.net.Transport;
 import graderelay.state.Cache;
 import graderelay.state.Cancellations;
 import graderelay.state.Leadership;
 import graderelay.state.StateClient;
-import graderelay.wire.Json;
+import graderelay.state.TeamLimits;
 import graderelay.wire.PeerAnswer;
 import graderelay.wire.PeerRequest;
 import graderelay.worker.LeaseDelegate;
 import graderelay.worker.WorkerApi;
 import graderelay.worker.WorkerClient;
 import io.micrometer.core.instrument.Tags;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -46,8 +45,6 @@
 /** One controller: its parts and their life. It knows no sockets, so tests run several at once. */
 public final class Node {
   private static final Logger LOG = LoggerFactory.getLogger("node");
-  private static final String JOBS = "/v1/jobs";
-  private static final String WITHDRAW = "/withdraw";
 
   private final Loop loop;
   private final Settings settings;
@@ -58,8 +55,6 @@
   private final Leadership leadership;
   private final CloudClient cloud;
   private final WorkerClient workers;
-  private final UserApi users;
-  private final WorkerApi reports;
   private final LeaseDelegate leaseDelegate;
   private final MeshClient mesh;
   private final MeshApi meshApi;
@@ -67,10 +62,10 @@
   private final OperatorSettings defaults;
   private OperatorSettings operators;
   private final Metrics metrics;
-  private final AdminApi admin;
   private final FeatureGate gate;
   private final FeatureDuty features;
-  private final FeaturesApi featuresApi;
+  private final QuotaMonitor quotaMonitor;
+  private final RequestRouter router;
   private List<MachineType> types;
   private FleetController fleetController;
   private Loop.Timer typesTimer;
@@ -118,12 +113,15 @@
             new LeadershipListener());
     this.cloud = new CloudClient(loop, transport, s.cloudAddress(), s.cloudRps());
     this.workers = new WorkerClient(transport);
-    this.users =
-        new UserApi(loop, state, cache, cancellations, s, () -> types, () -> operators.sliceCap());
+    TeamLimits limits = new TeamLimits(cache.quota(), s.teams());
+    this.quotaMonitor = new QuotaMonitor(limits, this::core);
+    UserApi users =
+        new UserApi(
+            loop, state, cache, cancellations, s, limits, () -> types, () -> operators.sliceCap());
     this.leaseDelegate =
         new LeaseDelegate(
             loop, mesh, leadership, cache, state, cancellations, s, random.nextLong());
-    this.reports =
+    WorkerApi reports =
         new WorkerApi(
             loop,
             leadership,
@@ -133,10 +131,11 @@
             cancellations,
             s.member(),
             this::onReport);
-    this.admin =
+    AdminApi admin =
         new AdminApi(
             loop,
             s,
+            limits,
             state,
             cache,
             leadership,
@@ -149,9 +148,27 @@
         new RequestHedger(loop, mesh, state::stuck, leadership::awayForAll, this::mayAnswer);
     String incarnation = leadership.process();
     this.features = new FeatureDuty(loop, state, cache, leadership, mesh, s, options, incarnation);
-    this.featuresApi =
+    FeaturesApi featuresApi =
         new FeaturesApi(
             s.member(), cache, features.coordinator(), leadership::owner, admin::atLeader);
+    QuotaApi quotaApi =
+        new QuotaApi(
+            loop,
+            state,
+            cache,
+            limits,
+            this::core,
+            admin::atLeader,
+            team -> fleetController.replaceAccount(team),
+            s.member());
+    this.router =
+        new RequestRouter(
+            new RequestRouter.Targets(users, reports, admin, featuresApi, quotaApi),
+            gate,
+            requestHedger,
+            this::ready,
+            this::submissionsWaitHere,
+            this::metricsText);
     this.meshApi =
         new MeshApi(
             leadership,
@@ -162,7 +179,7 @@
             cancellations,
             reports::relayed,
             this::onDeputy,
-            this::handleRelayed);
+            router::handleRelayed);
   }
 
   /** A leader knows which peers answer; a follower finds out by asking. */
@@ -209,6 +226,7 @@
     metrics.bucket("state requests", state.requestTokens());
     metrics.bucket("state changes", state.changeTokens());
     metrics.bucket("cloud", cloud.tokens());
+    metrics.readings(quotaMonitor::readings);
     metrics.start();
     metrics.gauge(
         "graderelay.feature.level", Tags.of("what", "finalized"), m -> gate.current().level());
@@ -318,42 +336,9 @@
 
   // ---------------------------------------------------------------- requests
 
-  /** Requests of users, workers and the load balancer. */
+  /** Requests of users, workers, operators and the load balancer. */
   public void handle(Exchange e) {
-    String path = e.path();
-    boolean get = e.method().equals("GET");
-    boolean post = e.method().equals("POST");
-    if (path.equals("/ready")) {
-      if (!get) {
-        wrongMethod(e);
-      } else if (ready()) {
-        e.to().accept(Answer.json(200, Json.write(Json.object().put("ready", true))));
-      } else {
-        UserApi.unavailable(e, gate.isShut() ? gate.closedBecause() : "not ready");
-      }
-    } else if (path.equals("/checkin")) {
-      if (post) {
-        reports.checkin(e);
-      } else {
-        wrongMethod(e);
-      }
-    } else if (path.equals("/metrics")) {
-      if (get) {
-        showMetrics(e);
-      } else {
-        wrongMethod(e);
-      }
-    } else if (FeaturesApi.owns(path)) {
-      featuresApi.handle(e);
-    } else if (AdminApi.owns(path)) {
-      admin.handle(e);
-    } else if (gate.isShut()) {
-      UserApi.unavailable(e, gate.closedBecause());
-    } else if (post && path.equals(JOBS) && submissionsWaitHere()) {
-      requestHedger.handleElsewhere(e, this::handleHere);
-    } else {
-      requestHedger.handle(e, this::handleHere);
-    }
+    router.handle(e);
   }
 
   /**
@@ -367,64 +352,8 @@
         : state.changeTokens().wouldWait(1);
   }
 
-  private void showMetrics(Exchange e) {
-    String text =
-        metrics.scrape(Map.of("state", state.outcomes(), "cloud", cloud.outcomes()), core());
-    e.to()
-        .accept(
-            new Answer(
-                200, text.getBytes(StandardCharsets.UTF_8), "text/plain; version=0.0.4", 0, false));
-  }
-
-  /** What another controller passes on. */
-  private void handleRelayed(Exchange e) {
-    if (FeaturesApi.owns(e.path())) {
-      featuresApi.handle(e);
-    } else if (AdminApi.owns(e.path())) {
-      admin.handle(e);
-    } else if (gate.isShut()) {
-      UserApi.unavailable(e, gate.closedBecause());
-    } else {
-      handleHere(e);
-    }
-  }
-
-  /** Requests about jobs, decided by this node itself. */
-  private void handleHere(Exchange e) {
-    String path = e.path();
-    boolean get = e.method().equals("GET");
-    boolean post = e.method().equals("POST");
-    if (path.equals(JOBS)) {
-      if (post) {
-        users.submit(e);
-      } else {
-        wrongMethod(e);
-      }
-    } else if (path.startsWith(JOBS + "/")) {
-      job(e, path.substring(JOBS.length() + 1), get, post);
-    } else {
-      UserApi.refuse(e, 404, "no such path");
-    }
-  }
-
-  private void job(Exchange e, String rest, boolean get, boolean post) {
-    if (rest.endsWith(WITHDRAW) && rest.indexOf('/') == rest.length() - WITHDRAW.length()) {
-      if (post) {
-        users.cancel(e, rest.substring(0, rest.length() - WITHDRAW.length()));
-      } else {
-        wrongMethod(e);
-      }
-    } else if (rest.isEmpty() || rest.indexOf('/') >= 0) {
-      UserApi.refuse(e, 404, "no such path");
-    } else if (get) {
-      users.poll(e, rest);
-    } else {
-      wrongMethod(e);
-    }
-  }
-
-  private static void wrongMethod(Exchange e) {
-    UserApi.refuse(e, 405, "method not allowed");
+  private String metricsText() {
+    return metrics.scrape(Map.of("state", state.outcomes(), "cloud", cloud.outcomes()), core());
   }
 
   /** Requests of the other controllers. */
@@ -535,6 +464,14 @@
       leadership.consider();
     }
 
+    @Override
+    public void onQuota() {
+      quotaMonitor.onQuota();
+      if (fleetController != null) {
+        fleetController.onQuota();
+      }
+    }
+
     @Override
     public void onDeputyFree(String member, JsonNode record) {
       if (fleetController != null) {
--- /dev/null
+++ b/src/main/java/graderelay/service/RequestRouter.java
@@ -0,0 +1,151 @@
+package graderelay.service;
+
+import graderelay.api.AdminApi;
+import graderelay.api.FeaturesApi;
+import graderelay.api.QuotaApi;
+import graderelay.api.UserApi;
+import graderelay.features.FeatureGate;
+import graderelay.mesh.RequestHedger;
+import graderelay.net.Exchange;
+import graderelay.net.Exchange.Answer;
+import graderelay.wire.Json;
+import graderelay.worker.WorkerApi;
+import java.nio.charset.StandardCharsets;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+/** Passes requests of users, workers, operators and other controllers on to whom they concern. */
+final class RequestRouter {
+  private static final String JOBS = "/v1/jobs";
+  private static final String WITHDRAW = "/withdraw";
+
+  /** Whom requests concern. */
+  record Targets(
+      UserApi users, WorkerApi workers, AdminApi admin, FeaturesApi features, QuotaApi quota) {}
+
+  private final Targets targets;
+  private final FeatureGate gate;
+  private final RequestHedger hedger;
+  private final BooleanSupplier ready;
+  private final BooleanSupplier submissionsWaitHere;
+  private final Supplier<String> metrics;
+
+  /**
+   * Makes a router.
+   *
+   * @param ready true if this controller can take requests
+   * @param submissionsWaitHere true if a peer may take a submission sooner
+   * @param metrics the text that a Prometheus server reads
+   */
+  RequestRouter(
+      Targets targets,
+      FeatureGate gate,
+      RequestHedger hedger,
+      BooleanSupplier ready,
+      BooleanSupplier submissionsWaitHere,
+      Supplier<String> metrics) {
+    this.targets = targets;
+    this.gate = gate;
+    this.hedger = hedger;
+    this.ready = ready;
+    this.submissionsWaitHere = submissionsWaitHere;
+    this.metrics = metrics;
+  }
+
+  /** Requests of users, workers, operators and the load balancer. */
+  void handle(Exchange e) {
+    String path = e.path();
+    switch (path) {
+      case "/ready" -> only("GET", e, () -> showReady(e));
+      case "/checkin" -> only("POST", e, () -> targets.workers().checkin(e));
+      case "/metrics" -> only("GET", e, () -> showMetrics(e));
+      default -> {
+        if (!operators(e)) {
+          users(e);
+        }
+      }
+    }
+  }
+
+  /** What another controller passes on. */
+  void handleRelayed(Exchange e) {
+    if (operators(e)) {
+      return;
+    }
+    if (gate.isShut()) {
+      UserApi.unavailable(e, gate.closedBecause());
+    } else {
+      handleHere(e);
+    }
+  }
+
+  /** True if the request was one of operators. */
+  private boolean operators(Exchange e) {
+    String path = e.path();
+    if (FeaturesApi.owns(path)) {
+      targets.features().handle(e);
+    } else if (QuotaApi.owns(path)) {
+      targets.quota().handle(e);
+    } else if (AdminApi.owns(path)) {
+      targets.admin().handle(e);
+    } else {
+      return false;
+    }
+    return true;
+  }
+
+  private void users(Exchange e) {
+    boolean submission = e.method().equals("POST") && e.path().equals(JOBS);
+    if (gate.isShut()) {
+      UserApi.unavailable(e, gate.closedBecause());
+    } else if (submission && submissionsWaitHere.getAsBoolean()) {
+      hedger.handleElsewhere(e, this::handleHere);
+    } else {
+      hedger.handle(e, this::handleHere);
+    }
+  }
+
+  private void showReady(Exchange e) {
+    if (ready.getAsBoolean()) {
+      e.to().accept(Answer.json(200, Json.write(Json.object().put("ready", true))));
+    } else {
+      UserApi.unavailable(e, gate.isShut() ? gate.closedBecause() : "not ready");
+    }
+  }
+
+  private void showMetrics(Exchange e) {
+    byte[] text = metrics.get().getBytes(StandardCharsets.UTF_8);
+    e.to().accept(new Answer(200, text, "text/plain; version=0.0.4", 0, false));
+  }
+
+  /** Requests about jobs, decided by this controller itself. */
+  private void handleHere(Exchange e) {
+    String path = e.path();
+    if (path.equals(JOBS)) {
+      only("POST", e, () -> targets.users().submit(e));
+    } else if (path.startsWith(JOBS + "/")) {
+      job(e, path.substring(JOBS.length() + 1));
+    } else {
+      UserApi.refuse(e, 404, "no such path");
+    }
+  }
+
+  private void job(Exchange e, String rest) {
+    if (rest.endsWith(WITHDRAW) && rest.indexOf('/') == rest.length() - WITHDRAW.length()) {
+      String id = rest.substring(0, rest.length() - WITHDRAW.length());
+      only("POST", e, () -> targets.users().cancel(e, id));
+    } else if (rest.isEmpty() || rest.indexOf('/') >= 0) {
+      UserApi.refuse(e, 404, "no such path");
+    } else {
+      only("GET", e, () -> targets.users().poll(e, rest));
+    }
+  }
+
+  private static void only(String method, Exchange e, Runnable then) {
+    if (e.method().equals(method)) {
+      then.run();
+    } else {
+      UserApi.refuse(e, 405, "method not allowed");
+    }
+  }
+}
--- a/src/main/java/graderelay/state/Cache.java
+++ b/src/main/java/graderelay/state/Cache.java
@@ -64,6 +64,9 @@
 
     void onSettings();
 
+    /** Stored limits or accounts have changed, or whether they count. */
+    void onQuota();
+
     void onDeputyFree(String member, JsonNode record);
   }
 
@@ -88,6 +91,10 @@
 
   private final FeatureRecords features;
   private final ElectionRecords election;
+  private final QuotaRecords quota;
+
+  /** Stored limits or accounts have changed in the batch at hand. */
+  private boolean quotaChanged;
 
   /** Something that {@link Listener#onOwner} tells of has changed in the batch at hand. */
   private boolean ownerChanged;
@@ -131,6 +138,7 @@
     this.listener = listener;
     this.features = new FeatureRecords(gate);
     this.election = new ElectionRecords(features);
+    this.quota = new QuotaRecords(gate);
     state.fenceBy(FeatureCodec.LEVEL, features::levelRevision, () -> !gate.isShut());
   }
 
@@ -144,6 +152,11 @@
     return election;
   }
 
+  /** What is stored of limits and accounts. */
+  public QuotaRecords quota() {
+    return quota;
+  }
+
   public boolean loaded() {
     return loaded;
   }
@@ -336,6 +349,7 @@
     loose.clear();
     election.clear(watched);
     features.clear();
+    quota.clear();
     compactHints.clear();
     revision = lists.get(0).get(0).path("ledger").asLong();
     lists.forEach(this::putAll);
@@ -352,6 +366,7 @@
             }
             listener.onOwner();
             listener.onSettings();
+            listener.onQuota();
             watch(++generation);
           } else {
             loop.after(Constants.STATE_RETRY_S, this::load);
@@ -459,8 +474,14 @@
     // A change of the leader's record may come with one of the level that says where it stands.
     if (ownerChanged && loaded) {
       ownerChanged = false;
+      quotaChanged = true; // The level says whether stored limits count.
       listener.onOwner();
     }
+    // Only now: the slices of the same transactions are to be taken before the accounts.
+    if (quotaChanged && loaded) {
+      quotaChanged = false;
+      listener.onQuota();
+    }
   }
 
   private void put(String key, JsonNode value, long mark) {
@@ -472,6 +493,8 @@
       String id = key.substring(StateCodec.ENDS.length());
       ends.put(id, endOf(value));
       listener.onEnd(id, ends.get(id));
+    } else if (quota.put(key, value, mark)) {
+      quotaChanged = true;
     } else if (features.put(key, value, mark) || election.put(key, value, mark)) {
       ownerChanged = true;
     } else if (key.equals(StateCodec.DEMAND)) {
@@ -553,6 +576,8 @@
         }
         listener.onSliceGone(k);
       }
+    } else if (quota.drop(key, mark)) {
+      quotaChanged = true;
     } else if (features.drop(key, mark) || election.drop(key, mark)) {
       ownerChanged = true;
     } else if (key.startsWith(StateCodec.IMAGES)) {
--- /dev/null
+++ b/src/main/java/graderelay/state/QuotaRecords.java
@@ -0,0 +1,124 @@
+package graderelay.state;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import graderelay.features.Feature;
+import graderelay.features.FeatureGate;
+import graderelay.quota.Account;
+import graderelay.quota.LimitRecord;
+import graderelay.quota.StoredQuota;
+import graderelay.wire.QuotaCodec;
+import java.util.HashMap;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** This node's copy of the stored limits and accounts. */
+public final class QuotaRecords {
+  private static final Logger LOG = LoggerFactory.getLogger("quota");
+
+  private final FeatureGate gate;
+  private final Map<String, LimitRecord> limits = new HashMap<>();
+  private final Map<String, Account> accounts = new HashMap<>();
+  private long seededRevision;
+
+  QuotaRecords(FeatureGate gate) {
+    this.gate = gate;
+  }
+
+  /** True if the stored limits count, and not those of the settings. */
+  public boolean inForce() {
+    return gate.enabled(Feature.STORED_LIMITS) && isSeeded();
+  }
+
+  /** True once the limits of the settings have been stored as a whole. */
+  public boolean isSeeded() {
+    return seededRevision > 0;
+  }
+
+  /** The version of the record that says so, 0 if there is none. */
+  public long seededRevision() {
+    return seededRevision;
+  }
+
+  /** The stored limits of a team, or null. */
+  public LimitRecord limits(String team) {
+    return limits.get(team);
+  }
+
+  /** The stored account of a team. */
+  public Account account(String team) {
+    return accounts.getOrDefault(team, Account.ABSENT);
+  }
+
+  /** All stored limits, by team. */
+  public Map<String, LimitRecord> limits() {
+    return Map.copyOf(limits);
+  }
+
+  /** Everything as it stood at a revision. */
+  public StoredQuota asOf(long revision) {
+    return new StoredQuota(Map.copyOf(limits), Map.copyOf(accounts), isSeeded(), revision);
+  }
+
+  /** Before the records are read anew. */
+  void clear() {
+    limits.clear();
+    accounts.clear();
+    seededRevision = 0;
+  }
+
+  boolean put(String key, JsonNode value, long revision) {
+    if (key.startsWith(QuotaCodec.ACCOUNTS)) {
+      String team = QuotaCodec.teamOf(key, QuotaCodec.ACCOUNTS);
+      if (revision > account(team).revision()) {
+        accounts.put(team, QuotaCodec.account(value, revision));
+      }
+    } else if (key.startsWith(QuotaCodec.LIMITS)) {
+      putLimits(QuotaCodec.teamOf(key, QuotaCodec.LIMITS), value, revision);
+    } else if (key.equals(QuotaCodec.SEEDED)) {
+      seededRevision = Math.max(seededRevision, revision);
+    } else {
+      return false;
+    }
+    return true;
+  }
+
+  private void putLimits(String team, JsonNode value, long revision) {
+    LimitRecord before = limits.get(team);
+    if (before != null && revision <= before.revision()) {
+      return;
+    }
+    LimitRecord record = QuotaCodec.limits(value, revision);
+    limits.put(team, record);
+    if (record.isReadable()) {
+      LOG.info(
+          "team {}: guarantee {}, limit {}, by {}",
+          team,
+          record.quota().guarantee(),
+          record.quota().limit(),
+          record.changedBy());
+    } else {
+      LOG.error("the stored limits of team {} are malformed: {}", team, record.malformed());
+    }
+  }
+
+  boolean drop(String key, long revision) {
+    if (key.startsWith(QuotaCodec.ACCOUNTS)) {
+      String team = QuotaCodec.teamOf(key, QuotaCodec.ACCOUNTS);
+      if (revision > account(team).revision()) {
+        accounts.remove(team);
+      }
+    } else if (key.startsWith(QuotaCodec.LIMITS)) {
+      String team = QuotaCodec.teamOf(key, QuotaCodec.LIMITS);
+      LimitRecord before = limits.get(team);
+      if (before != null && revision > before.revision()) {
+        limits.remove(team);
+      }
+    } else if (key.equals(QuotaCodec.SEEDED)) {
+      seededRevision = revision > seededRevision ? 0 : seededRevision;
+    } else {
+      return false;
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/src/main/java/graderelay/wire/QuotaCodec.java
@@ -0,0 +1,101 @@
+package graderelay.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import graderelay.quota.Account;
+import graderelay.quota.Amount;
+import graderelay.quota.LimitRecord;
+import graderelay.quota.TeamQuota;
+import java.net.URLDecoder;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * The records of stored limits and accounts, and their keys. They stand below {@link
+ * StateCodec#TERM}, which is listed before the slices: an account that was read is never newer than
+ * the slices that were read with it.
+ */
+public final class QuotaCodec {
+  /** Everything about stored limits. */
+  public static final String ROOT = "g/term/quota/";
+
+  /** Guarantee and limit of each team. */
+  public static final String LIMITS = "g/term/quota/limit/";
+
+  /** What the committed claims of each team take. */
+  public static final String ACCOUNTS = "g/term/quota/account/";
+
+  /** Present once the limits of the settings have been stored as a whole. */
+  public static final String SEEDED = "g/term/quota/seeded";
+
+  /** Thousandths; a sum of some billions of them is still exact. */
+  private static final long MOST_MILLIS = 1_000_000_000_000L;
+
+  private QuotaCodec() {}
+
+  public static String limitKey(String team) {
+    return LIMITS + encoded(team);
+  }
+
+  public static String accountKey(String team) {
+    return ACCOUNTS + encoded(team);
+  }
+
+  /** Keys have no spaces, names of teams may. */
+  private static String encoded(String team) {
+    return URLEncoder.encode(team, StandardCharsets.UTF_8);
+  }
+
+  /** The team that a key below a prefix is about. */
+  public static String teamOf(String key, String prefix) {
+    return URLDecoder.decode(key.substring(prefix.length()), StandardCharsets.UTF_8);
+  }
+
+  public static ObjectNode limits(TeamQuota quota, String changedBy, long nowMs) {
+    return Json.object()
+        .put("cpus", quota.guarantee().cpuMillis())
+        .put("cpus_max", quota.limit().cpuMillis())
+        .put("gpus", quota.guarantee().gpuMillis())
+        .put("gpus_max", quota.limit().gpuMillis())
+        .put("by", changedBy)
+        .put("at", nowMs);
+  }
+
+  /** Reads the record; one that can't be read stops its team and nobody else. */
+  public static LimitRecord limits(JsonNode n, long revision) {
+    try {
+      TeamQuota quota =
+          new TeamQuota(
+              new Amount(millis(n, "cpus"), millis(n, "gpus")),
+              new Amount(millis(n, "cpus_max"), millis(n, "gpus_max")));
+      if (!quota.isConsistent()) {
+        throw new MalformedRecord("the guarantee is above the limit");
+      }
+      return LimitRecord.of(quota, revision, n.path("by").asText(), n.path("at").asLong());
+    } catch (MalformedRecord e) {
+      return LimitRecord.malformed(e.getMessage(), revision);
+    }
+  }
+
+  public static ObjectNode account(Amount use) {
+    return Json.object().put("cpus", use.cpuMillis()).put("gpus", use.gpuMillis());
+  }
+
+  /** Reads the record; one that can't be read stops its team and nobody else. */
+  public static Account account(JsonNode n, long revision) {
+    try {
+      return Account.of(new Amount(millis(n, "cpus"), millis(n, "gpus")), revision);
+    } catch (MalformedRecord e) {
+      return Account.malformed(e.getMessage(), revision);
+    }
+  }
+
+  private static long millis(JsonNode n, String field) throws MalformedRecord {
+    JsonNode v = n.path(field);
+    boolean whole = v.isIntegralNumber() && v.canConvertToLong();
+    if (!whole || v.longValue() < 0 || v.longValue() > MOST_MILLIS) {
+      throw new MalformedRecord(field + " must be a number of thousandths of at least 0");
+    }
+    return v.longValue();
+  }
+}
--- a/src/test/java/graderelay/RollingUpgradeTest.java
+++ b/src/test/java/graderelay/RollingUpgradeTest.java
@@ -11,6 +11,7 @@
 import graderelay.sim.SimWorld;
 import graderelay.wire.FeatureCodec;
 import graderelay.wire.Json;
+import graderelay.wire.QuotaCodec;
 import graderelay.wire.StateCodec;
 import java.util.ArrayList;
 import java.util.List;
@@ -21,7 +22,7 @@
 /** Controllers that are upgraded one at a time, and feature levels that wait for all of them. */
 class RollingUpgradeTest {
   private static final double SOAK_S = 10;
-  private static final int LATEST = 2;
+  private static final int LATEST = 3;
 
   private static Options pinned(int max) {
     return new Options(new UpgradePolicy(true, SOAK_S), new FeatureRange(0, max));
@@ -132,7 +133,10 @@
     w.loop.run(2 * SOAK_S);
     assertThat(level(w)).isZero();
     for (String key : w.state.everWritten) {
-      boolean ofLevels = key.startsWith(FeatureCodec.ROOT) || key.startsWith(FeatureCodec.HINTS);
+      boolean ofLevels =
+          key.startsWith(FeatureCodec.ROOT)
+              || key.startsWith(FeatureCodec.HINTS)
+              || key.startsWith(QuotaCodec.ROOT);
       assertThat(ofLevels && !key.startsWith(FeatureCodec.MEMBERS)).as(key).isFalse();
     }
     for (int i : new int[] {1, 0}) {
@@ -375,7 +379,9 @@
     w.loop.run(10);
     JsonNode ready = w.answer(old, "GET", "/ready", null);
     assertThat(ready.path("http").asInt()).isEqualTo(503);
-    assertThat(ready.path("error").asText()).contains("feature level is 2").contains("0 to 0");
+    assertThat(ready.path("error").asText())
+        .contains("feature level is " + LATEST)
+        .contains("0 to 0");
     assertThat(w.answer(old, "GET", "/v1/jobs/j-000001", null).path("http").asInt()).isEqualTo(503);
     assertThat(show(w, old).path("out_of_service").asText()).contains("0 to 0");
     assertThat(w.left).isEmpty(); // Ended, it would be started again and again.
--- a/src/test/java/graderelay/cli/UpgradeOnLoopbackTest.java
+++ b/src/test/java/graderelay/cli/UpgradeOnLoopbackTest.java
@@ -123,7 +123,7 @@
     String[][] bad = {
       {"[features]\nmin_level = 2\nmax_level = 1\n", "features.min_level is 2, above"},
       {"[features]\nmax_level = \"telepathy\"\n", "telepathy is not a feature"},
-      {"[features]\nmax_level = 9\n", "features.max_level must be a feature level from 0 to 2"},
+      {"[features]\nmax_level = 9\n", "features.max_level must be a feature level from 0 to 3"},
       {"[features]\nsoak_s = -1\n", "features.soak_s must be a number"},
       {"[features]\nfinalise = \"manual\"\n", "features.finalise is not known"},
       {"[features]\nfinalize = \"never\"\n", "features.finalize must be"},
--- a/src/test/java/graderelay/sim/LevelChanges.java
+++ b/src/test/java/graderelay/sim/LevelChanges.java
@@ -13,7 +13,7 @@
  * all are of the latest version.
  */
 final class LevelChanges {
-  private static final int LATEST = 2;
+  private static final int LATEST = 3;
   private static final double SOAK_S = 8;
 
   /** Seconds after which a silent process is taken for ended: its session lease is over by then. */
--- /dev/null
+++ b/src/test/java/graderelay/sim/QuotaRecorder.java
@@ -0,0 +1,139 @@
+package graderelay.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import graderelay.core.JobSpec;
+import graderelay.core.SliceKey;
+import graderelay.core.Team;
+import graderelay.quota.Amount;
+import graderelay.quota.TeamQuota;
+import graderelay.wire.QuotaCodec;
+import graderelay.wire.StateCodec;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Compares teams with their limits at every commit of the state service and at every start on a
+ * machine: what is claimed never exceeds the limit that is stored at that moment, what runs never
+ * exceeds what is claimed, and no account is below the claims.
+ */
+public final class QuotaRecorder {
+  private record SliceClaims(String team, Amount amount) {}
+
+  private final SimWorld world;
+  private final Map<String, JobSpec> jobs = new HashMap<>();
+  private final Map<String, SliceClaims> slices = new HashMap<>();
+  private final Map<String, Amount> claims = new HashMap<>();
+  private final Map<String, Double> peaks = new HashMap<>();
+
+  /** What was above its limit, or below its claims. */
+  public final List<String> broken = new ArrayList<>();
+
+  public QuotaRecorder(SimWorld world) {
+    this.world = world;
+    world.state.onCommitted = this::committed;
+    world.rules.onStart = this::started;
+  }
+
+  /** The most CPUs that a team has run at once. */
+  public double peak(String team) {
+    return peaks.getOrDefault(team, 0.0);
+  }
+
+  /** What a team's committed claims take now. */
+  public Amount claims(String team) {
+    return claims.getOrDefault(team, Amount.NONE);
+  }
+
+  private void started(Rules.Known job) {
+    double running = world.rules.running(job.crew());
+    peaks.merge(job.crew(), running, Math::max);
+    if (running > claims(job.crew()).cpus() + 1e-6) {
+      breaks(job.crew() + " runs " + running + " with claims of " + claims(job.crew()));
+    }
+  }
+
+  private void committed(JsonNode transaction) {
+    Map<String, Amount> before = Map.copyOf(claims);
+    Set<String> touched = new HashSet<>();
+    for (JsonNode change : transaction.path("then")) {
+      String key = change.has("put") ? change.get("put").asText() : change.get("drop").asText();
+      if (key.startsWith(StateCodec.JOBS)) {
+        job(key.substring(StateCodec.JOBS.length()), change.get("data"));
+      } else if (key.startsWith(StateCodec.SLICES)) {
+        touched.add(slice(key, change.get("data")));
+      } else if (key.startsWith(QuotaCodec.ACCOUNTS) && change.has("put")) {
+        touched.add(QuotaCodec.teamOf(key, QuotaCodec.ACCOUNTS));
+      }
+    }
+    touched.remove(null);
+    touched.forEach(team -> check(team, before.getOrDefault(team, Amount.NONE)));
+  }
+
+  private void job(String id, JsonNode value) {
+    if (value != null) {
+      jobs.put(id, StateCodec.job(id, value));
+      return;
+    }
+    jobs.remove(id); // Its end has committed, and with it that of all its claims.
+    slices.keySet().stream()
+        .filter(key -> StateCodec.sliceOf(key).job().equals(id))
+        .toList()
+        .forEach(this::forget);
+  }
+
+  private void forget(String key) {
+    SliceClaims old = slices.remove(key);
+    if (old != null) {
+      claims.merge(old.team(), Amount.NONE.minus(old.amount()), Amount::plus);
+    }
+  }
+
+  /** Takes a slice's new record and returns its team, or null. */
+  private String slice(String key, JsonNode value) {
+    forget(key);
+    SliceKey slice = StateCodec.sliceOf(key);
+    JobSpec job = jobs.get(slice.job());
+    if (value == null || job == null) {
+      return null;
+    }
+    int count = StateCodec.slice(value).claimedCount();
+    Amount amount = Amount.needed(job.cpus(), job.gpus()).times(count);
+    slices.put(key, new SliceClaims(job.team(), amount));
+    claims.merge(job.team(), amount, Amount::plus);
+    return job.team();
+  }
+
+  private void check(String team, Amount before) {
+    Amount now = claims(team);
+    TeamQuota quota = quota(team);
+    if (now.cpuMillis() > before.cpuMillis() && !quota.allows(now)) {
+      breaks(team + " is given claims of " + now + " with a limit of " + quota.limit());
+    }
+    JsonNode account = world.state.value(QuotaCodec.accountKey(team));
+    if (account != null && !QuotaCodec.account(account, 1).use().covers(now)) {
+      breaks(team + " has claims of " + now + " and an account of " + account);
+    }
+  }
+
+  private TeamQuota quota(String team) {
+    JsonNode stored = world.state.value(QuotaCodec.limitKey(team));
+    if (stored != null) {
+      return QuotaCodec.limits(stored, 1).quota();
+    }
+    for (Team t : world.settings(0).teams()) {
+      if (t.name().equals(team)) {
+        return t.quota();
+      }
+    }
+    return TeamQuota.UNLIMITED;
+  }
+
+  private void breaks(String what) {
+    world.rules.log("LIMIT " + what);
+    broken.add(what);
+  }
+}
--- a/src/test/java/graderelay/sim/Rules.java
+++ b/src/test/java/graderelay/sim/Rules.java
@@ -31,6 +31,13 @@
     /** It is of a team without a guarantee or a limit, and of the lowest priority. */
     public boolean guest;
 
+    /** Its team, unless it is a guest's. */
+    public String team = "team";
+
+    String crew() {
+      return guest ? "guest" : team;
+    }
+
     /** It was submitted with a mistake, so that its tasks fail on every machine. */
     public boolean mistake;
 
@@ -89,13 +96,22 @@
   public final Map<String, Known> jobs = new LinkedHashMap<>();
   private final Map<String, String> on = new HashMap<>();
   private final Map<String, String> zoneOf = new HashMap<>();
-  private double used;
+
+  /** CPUs that each team's tasks take, as the workers have them. */
+  private final Map<String, Double> running = new HashMap<>();
+
+  /** The team that the settings limit to the world's limit. */
+  private static final String LIMITED = "team";
+
   public final List<String> broken = new ArrayList<>();
   public int starts;
 
   /** Hears of each job whose last task has completed. */
   public Consumer<Known> onComplete = j -> {};
 
+  /** Hears of each start, of a task of this job. */
+  public Consumer<Known> onStart = j -> {};
+
   /** Hears of each job about which its user was told something new. */
   public Consumer<Known> onTold = j -> {};
 
@@ -107,6 +123,11 @@
     this.limit = limit;
   }
 
+  /** CPUs that a team's tasks take, as the workers have them. */
+  public double running(String team) {
+    return running.getOrDefault(team, 0.0);
+  }
+
   public void log(String s) {
     trace.add(String.format("%.3f %s", loop.now(), s));
     if (trace.size() > 60) {
@@ -148,11 +169,12 @@
     if (other != null) {
       breaks("ran_twice " + task + " on " + other + " and " + machine);
     } else {
-      used += j.guest ? 0 : j.cpus;
+      running.merge(j.crew(), j.cpus, Double::sum);
     }
-    if (used > limit + 1e-6) {
-      breaks("quota " + used);
+    if (running(LIMITED) > limit + 1e-6) {
+      breaks("quota " + running(LIMITED));
     }
+    onStart.accept(j);
     for (Known n : j.needs) {
       if (!n.allDone()) {
         breaks("too_early " + task + " before " + n.id);
@@ -179,7 +201,7 @@
   void left(String task, String machine) {
     if (machine.equals(on.get(task))) {
       on.remove(task);
-      used -= job(task).guest ? 0 : job(task).cpus;
+      running.merge(job(task).crew(), -job(task).cpus, Double::sum);
       log("end " + task + " on " + machine);
     }
   }
--- a/src/test/java/graderelay/sim/SimState.java
+++ b/src/test/java/graderelay/sim/SimState.java
@@ -72,8 +72,17 @@
   /** Hears of each transaction that is about to commit. */
   public Consumer<JsonNode> onCommit = t -> {};
 
+  /** Hears of each transaction that has committed. */
+  public Consumer<JsonNode> onCommitted = t -> {};
+
+  /** Conditions on keys for which this is true are taken for met, against the protocol. */
+  public Predicate<String> ignoredCondition = key -> false;
+
   public int requests;
 
+  /** Puts and deletes of transactions that have committed. */
+  public long changesMade;
+
   /** Transactions with changes whose conditions failed. */
   public int conflicts;
 
@@ -288,6 +297,9 @@
     ArrayNode failed = Json.array();
     for (JsonNode c : t.path("if")) {
       Item i = items.get(c.path("key").asText());
+      if (ignoredCondition.test(c.path("key").asText())) {
+        continue;
+      }
       if ((i == null ? 0 : i.mark()) != c.path("mark").asLong()) {
         failed.add(c.path("key").asText());
       }
@@ -317,6 +329,8 @@
       }
       changes.add(new Change(key, c.get("data"), revision));
     }
+    changesMade += t.path("then").size();
+    onCommitted.accept(t);
     if (!loseAnswer.test(t)) {
       answer(e, 200, Json.object().put("ledger", revision));
     }
--- a/src/test/java/graderelay/sim/SimWorld.java
+++ b/src/test/java/graderelay/sim/SimWorld.java
@@ -162,7 +162,10 @@
         peers,
         "cloud:1",
         "state" + i + ":1",
-        List.of(new Team("team", 8, shape.limit(), 0, 0), new Team("guest", 0, 0, 0, 0)),
+        List.of(
+            new Team("team", 8, shape.limit(), 0, 0),
+            new Team("other", 8, 12, 0, 0),
+            new Team("guest", 0, 0, 0, 0)),
         Map.of("web", 1.0),
         Map.of("web", List.of(1.0)),
         Map.of(),
@@ -440,7 +443,7 @@
 
   public ObjectNode body(Rules.Known k) {
     ObjectNode n = Json.object().put("ref", k.id).put("lot", k.runS == 0 ? "web" : "batch");
-    n.put("crew", k.guest ? "guest" : "team").put("cut", k.runS == 0 ? "standing" : "array");
+    n.put("crew", k.crew()).put("cut", k.runS == 0 ? "standing" : "array");
     n.put("urgency", k.runS == 0 ? "prod" : k.guest ? "low" : "normal").put("boards", k.tasks);
     n.put("cpus", k.cpus).put("cards", 0.0).put("mem_gb", 1.0).put("blade", "i");
     n.put("yard", k.zone)
