A recompute whose leader has lost the lead meanwhile is put off, not a null pointer

Also: what operators are told after a conditional write stood in AdminApi and QuotaApi and is one class; a team's limit is not converted to thousandths for each placed task while limits are not stored.

--- a/src/main/java/graderelay/api/AdminApi.java
+++ b/src/main/java/graderelay/api/AdminApi.java
@@ -19,7 +19,6 @@
 import graderelay.state.CancellationResolver;
 import graderelay.state.Leadership;
 import graderelay.state.StateClient;
-import graderelay.state.StateClient.How;
 import graderelay.state.TeamLimits;
 import graderelay.wire.BadRequest;
 import graderelay.wire.Json;
@@ -404,20 +403,8 @@
   }
 
   private void written(Exchange e, StateClient.Result r) {
-    if (r.how() == How.NOT_EXECUTED) {
-      UserApi.unavailable(e, "the state service can't be reached");
-      return;
-    }
-    cache.catchUp(
-        ok -> {
-          if (!ok || r.how() == How.UNKNOWN) {
-            UserApi.unavailable(e, "it is not known whether the change was made; read it again");
-          } else if (r.done()) {
-            answer(e, 200, view());
-          } else {
-            answer(e, 409, view().put("error", "somebody else changed the settings meanwhile"));
-          }
-        });
+    String conflict = "somebody else changed the settings meanwhile";
+    OperatorWrites.answer(e, cache, r, this::view, conflict);
   }
 
   private void control(Exchange e, String machine, String what) {
--- a/src/main/java/graderelay/api/QuotaApi.java
+++ b/src/main/java/graderelay/api/QuotaApi.java
@@ -15,7 +15,6 @@
 import graderelay.state.Cache;
 import graderelay.state.QuotaRecords;
 import graderelay.state.StateClient;
-import graderelay.state.StateClient.How;
 import graderelay.state.TeamLimits;
 import graderelay.wire.BadRequest;
 import graderelay.wire.Json;
@@ -25,7 +24,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 /**
@@ -44,14 +43,15 @@
   private final TeamLimits limits;
   private final Supplier<Scheduler> core;
   private final FeaturesApi.Leader leader;
-  private final Consumer<String> replaceAccount;
+  private final Predicate<String> replaceAccount;
   private final String member;
 
   /**
    * Makes the interface.
    *
    * @param core what the leader knows, or null on other controllers
-   * @param replaceAccount has the leader write a team's account anew
+   * @param replaceAccount has the leader write a team's account anew; false if this controller does
+   *     not lead any more
    */
   public QuotaApi(
       Loop loop,
@@ -60,7 +60,7 @@
       TeamLimits limits,
       Supplier<Scheduler> core,
       FeaturesApi.Leader leader,
-      Consumer<String> replaceAccount,
+      Predicate<String> replaceAccount,
       String member) {
     this.loop = loop;
     this.state = state;
@@ -269,26 +269,17 @@
       UserApi.refuse(e, BAD_REQUEST, "team " + team + " is not known");
       return;
     }
-    replaceAccount.accept(team);
+    if (!replaceAccount.test(team)) {
+      UserApi.unavailable(e, "the lead has changed meanwhile"); // While the records were read.
+      return;
+    }
     String message = "the account of team " + team + " is written anew from its claims";
     e.to().accept(Answer.json(200, Json.write(Json.object().put("message", message))));
   }
 
   private void written(Exchange e, String team, StateClient.Result r) {
-    if (r.how() == How.NOT_EXECUTED) {
-      UserApi.unavailable(e, "the state service can't be reached");
-      return;
-    }
-    cache.catchUp(
-        ok -> {
-          if (!ok || r.how() == How.UNKNOWN) {
-            UserApi.unavailable(e, "it is not known whether the change was made; read it again");
-          } else if (r.done()) {
-            e.to().accept(Answer.json(200, Json.write(present(team))));
-          } else {
-            conflict(e, team, "somebody else changed the limits of team " + team + " meanwhile");
-          }
-        });
+    String conflict = "somebody else changed the limits of team " + team + " meanwhile";
+    OperatorWrites.answer(e, cache, r, () -> present(team), conflict);
   }
 
   /** The record as it is now. */
--- a/src/main/java/graderelay/core/ClusterState.java
+++ b/src/main/java/graderelay/core/ClusterState.java
@@ -98,7 +98,8 @@
 
   /** True if one more task of this size keeps the team within its limit. */
   boolean withinLimit(String team, Resources extra) {
-    if (!admission.fits(team, extra.amount())) {
+    // Asked for each task that is placed: without stored limits it costs nothing.
+    if (admission.enabled() && !admission.fits(team, extra.amount())) {
       return false;
     }
     Team t = policy.team(team);
--- a/src/main/java/graderelay/service/Node.java
+++ b/src/main/java/graderelay/service/Node.java
@@ -159,7 +159,7 @@
             limits,
             this::core,
             admin::atLeader,
-            team -> fleetController.replaceAccount(team),
+            this::replaceAccount,
             s.member());
     this.router =
         new RequestRouter(
@@ -327,6 +327,15 @@
         : new PeerAnswer.Delegated(null, null);
   }
 
+  /** Operators want a team's account written anew; false if this node does not lead any more. */
+  private boolean replaceAccount(String team) {
+    if (fleetController == null) {
+      return false;
+    }
+    fleetController.replaceAccount(team);
+    return true;
+  }
+
   /** A peer says that a job was cancelled: carried out at once, written up from its record. */
   private void onCancelled(String job) {
     if (fleetController != null) {
--- a/src/test/java/graderelay/LimitChangeTest.java
+++ b/src/test/java/graderelay/LimitChangeTest.java
@@ -281,6 +281,20 @@
     WorldAssertions.fine(w);
   }
 
+  @Test
+  void aLeaderThatLosesTheLeadWhileItReadsForARecomputeGoesOnAsAFollower() {
+    SimWorld w = stored(564, 3);
+    int leader = w.owner();
+    w.suspend(leader); // The request is the first thing that it finds when it wakes.
+    w.ask(leader, "POST", "/admin/quota/team/recompute", null, (r, n) -> {});
+    w.loop.run(9);
+    w.resume(leader);
+    w.loop.run(5);
+    assertThat(w.owner()).isNotNegative().isNotEqualTo(leader);
+    assertThat(status(w.answer(leader, "GET", "/ready", null))).isEqualTo(200);
+    WorldAssertions.fine(w);
+  }
+
   @Test
   void malformedLimitsStopTheirTeamAloneUntilTheyAreGivenAnew() {
     SimWorld w = stored(562, 3);
