Review case 1: a leader that stood still has the whole fleet deleted

Case: the leader is stopped for 50 s, another one takes over, all tasks go on; then the old one is continued. Before it finds that it no longer leads, it takes its own standstill for silence of all machines and has the cloud delete them, with the tasks under the new leader.

--- a/review/standins/Fleet.java
+++ b/review/standins/Fleet.java
@@ -21,6 +21,9 @@
 
     void ended(String task, int pass, String machine, String cause);
 
+    /** A controller has the cloud delete machines, with everything on them. */
+    void deleted(String member, List<String> machines);
+
     /** Direct commands have arrived; refused for their token or session if not executed. */
     void commanded(String machine, String commands, boolean executed, long token, long session);
   }
@@ -39,7 +42,9 @@
 
   private final Map<String, ArrayNode> hires = new LinkedHashMap<>();
   private final TreeMap<String, Worker> workers = new TreeMap<>();
-  final int port;
+
+  /** The cloud's port for each controller, so that the cloud knows who asks. */
+  final List<Integer> ports = new ArrayList<>();
 
   Fleet(
       World.Timing timing,
@@ -55,7 +60,9 @@
     this.members = members;
     this.toControllers = toControllers;
     this.observer = observer;
-    this.port = Net.serve(this::cloud);
+    for (String member : members) {
+      ports.add(Net.serve(request -> cloud(member, request)));
+    }
   }
 
   synchronized List<Worker> workers() {
@@ -64,7 +71,7 @@
 
   // ---------------------------------------------------------------- the cloud
 
-  private synchronized Net.Answer cloud(Net.Request request) throws Exception {
+  private synchronized Net.Answer cloud(String member, Net.Request request) throws Exception {
     if (request.path().equals("/machine_types")) {
       ObjectNode type = Net.object().put("sku", TYPE).put("cpus", CPUS).put("cards", 0);
       type.put("mem_gb", 64).put("cache_gb", 40.0).put("pull_gb_per_s", 5.0).put("price", 0.71);
@@ -74,8 +81,11 @@
       return new Net.Answer(200, n);
     }
     if (request.path().equals("/machines/delete")) {
-      for (JsonNode name : request.body().path("saws")) {
-        Worker worker = workers.remove(name.asText());
+      List<String> names = new ArrayList<>();
+      request.body().path("saws").forEach(name -> names.add(name.asText()));
+      observer.deleted(member, names);
+      for (String name : names) {
+        Worker worker = workers.remove(name);
         if (worker != null) {
           worker.gone();
         }
@@ -178,6 +188,11 @@
       dropAll("gone");
     }
 
+    /** The highest token that this worker has seen. */
+    synchronized long token() {
+      return foreman;
+    }
+
     synchronized boolean isGone() {
       return gone;
     }
--- a/review/standins/World.java
+++ b/review/standins/World.java
@@ -107,10 +107,17 @@
     throw new CannotRun("deploy/service.toml has no run");
   }
 
+  /** A free port below those that the system gives to outgoing connections. */
   private static int freePort() throws IOException {
-    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return s.getLocalPort();
+    for (int i = 0; i < 1000; i++) {
+      int port = 12_000 + (int) (Math.random() * 20_000);
+      try (ServerSocket s = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+        return s.getLocalPort();
+      } catch (IOException taken) {
+        // Another one.
+      }
     }
+    throw new CannotRun("no free port");
   }
 
   /** Seconds since the case began. */
@@ -140,7 +147,7 @@
         toml.append(meshPorts.get(peer)).append("\"\n");
       }
     }
-    toml.append("[outside]\ncloud = \"127.0.0.1:").append(fleet.port);
+    toml.append("[outside]\ncloud = \"127.0.0.1:").append(fleet.ports.get(i));
     toml.append("\"\nstate = \"127.0.0.1:").append(store.port).append("\"\n").append(settings);
     Path file = folder.resolve(members.get(i) + ".toml");
     Files.writeString(file, toml.toString());
@@ -162,8 +169,11 @@
     write("killed " + members.get(i));
   }
 
-  boolean isAlive(int i) {
-    return controllers[i].isAlive();
+  /** Stops a controller's process, or lets it go on. */
+  void freeze(int i, boolean on) throws Exception {
+    String pid = String.valueOf(controllers[i].pid());
+    new ProcessBuilder("kill", on ? "-STOP" : "-CONT", pid).start().waitFor();
+    write((on ? "stopped " : "continued ") + members.get(i));
   }
 
   void startAll() throws IOException {
@@ -239,6 +249,14 @@
     return n.putNull("ship_s");
   }
 
+  /** A service of replicas, as PROTOCOL has it. */
+  static ObjectNode service(String ref, int boards, double cpus) {
+    return array(ref, boards, cpus, 0)
+        .put("lot", "preview-service")
+        .put("cut", "standing")
+        .put("urgency", "prod");
+  }
+
   /** Submits a job at a controller and repeats that until it is accepted. */
   void submit(int node, ObjectNode job, double runS) {
     String ref = job.path("ref").asText();
@@ -294,6 +312,27 @@
     }
   }
 
+  /** Deletions of machines with running tasks: who asked, and for what. */
+  record Deletion(double at, String member, String machine, List<String> tasks) {}
+
+  private final List<Deletion> deletions = new ArrayList<>();
+
+  synchronized List<Deletion> deletions() {
+    return List.copyOf(deletions);
+  }
+
+  @Override
+  public synchronized void deleted(String member, List<String> machines) {
+    write("cloud: " + member + " deletes " + machines);
+    for (String machine : machines) {
+      List<String> tasks =
+          current.values().stream().filter(s -> s.machine.equals(machine)).map(s -> s.task).toList();
+      if (!tasks.isEmpty()) {
+        deletions.add(new Deletion(time(), member, machine, tasks));
+      }
+    }
+  }
+
   @Override
   public void commanded(
       String machine, String commands, boolean executed, long token, long session) {
