Log what a raise of the term is for, and why it failed

Change: the line names the machine, the attempt, the session, the reported term and the last renewal of the lease; a raise that fails says with which outcome.

--- a/src/main/java/graderelay/core/LaunchFencing.java
+++ b/src/main/java/graderelay/core/LaunchFencing.java
@@ -1,5 +1,7 @@
 package graderelay.core;
 
+import java.util.Locale;
+
 /**
  * Fences unacknowledged launches that block the stop of an attempt. The leader raises its term;
  * workers that have seen the new term refuse a launch with the old one, however late it arrives.
@@ -29,7 +31,7 @@
         if (blocksStop(claim, now)) {
           raiseInFlight = true;
           lastRaiseAt = now;
-          cluster.log("raising the term: a launch of " + claim.taskId() + " is unacknowledged");
+          cluster.log(describeBlockedStop(machine, claim, now));
           cluster.actions.add(new Action.RaiseTerm());
           return;
         }
@@ -45,6 +47,21 @@
         && claim.launchTerm == cluster.term;
   }
 
+  private String describeBlockedStop(Machine machine, Claim claim, double now) {
+    return String.format(
+        Locale.ROOT,
+        "raising the term %d: a launch of %s attempt %d on %s is unacknowledged for %.1f s;"
+            + " session %d, reported term %d, lease renewed %.1f s ago",
+        cluster.term,
+        claim.taskId(),
+        claim.attempt,
+        machine.name,
+        now - claim.launchedAt,
+        machine.session,
+        machine.highestReportedTerm,
+        now - machine.lastResponseAt);
+  }
+
   /** Handles the outcome: {@code newTerm} is higher than the current term only on success. */
   void onTerm(long newTerm, double now) {
     raiseInFlight = false;
--- a/src/main/java/graderelay/state/TermRaise.java
+++ b/src/main/java/graderelay/state/TermRaise.java
@@ -64,6 +64,9 @@
         transaction,
         CallPriority.RENEWAL,
         result -> {
+          if (!result.succeeded()) {
+            LOG.info("raising the term to {} failed: {}", newTerm, result.outcome());
+          }
           onResult(newTerm, result);
           done.accept(result.succeeded() ? newTerm : 0L);
         });
