Renewed leases fence launches of cancelled jobs, also while the store is unavailable

Cause: a worker executes a late launch as long as its session goes on and it has seen no higher term. The leader raised its term by a transaction only, which an outage refuses (log: six raises, all NOT_EXECUTED, lease renewed up to 2 s before each), while it, controllers without a leader and lease delegates went on renewing the lease under the old term.

Change: an election reserves 100 terms in g/term (field first; term is the last one). The leader raises its own within them without the store; the last one is kept for renewals without a leader. LaunchFencing is asked before each renewal and each grant to a lease delegate, and refuses them once a lease could outlive cancel_s under the term of an unsettled launch of a cancelled job; LeaderlessTerm does the same where nobody leads. Messages between controllers name the last reserved term, as the record does, so earlier versions take them as before. A delegate's request and release are typed messages of the core.

--- a/src/main/java/graderelay/api/FleetViews.java
+++ b/src/main/java/graderelay/api/FleetViews.java
@@ -76,7 +76,8 @@
     body.put("member", controllerSettings.member())
         .put("zone", controllerSettings.zone())
         .put("ready", ready.getAsBoolean());
-    body.put("owner", leader == null ? null : leader.member()).put("term", cache.term());
+    body.put("owner", leader == null ? null : leader.member());
+    body.put("term", leader == null ? cache.term() : leader.term());
     body.put("state_failing_s", state.health().failingForS());
     int liveJobs = cache.jobs().size();
     int runningJobs = 0;
--- a/src/main/java/graderelay/config/Settings.java
+++ b/src/main/java/graderelay/config/Settings.java
@@ -175,6 +175,18 @@
     return Math.max(MIN_CANCELLATION_STALENESS_S, maxS);
   }
 
+  /**
+   * Returns the time after a cancellation for which a lease delegate may be granted the right to
+   * renew leases under a term under which a task of the cancelled job may still be launched, in
+   * seconds. The last lease that it renews must expire by the cancellation deadline. Without lease
+   * delegates it is as long as leases may be renewed.
+   */
+  public double maxGrantAfterCancellationS() {
+    return delegateZones().isEmpty()
+        ? maxCancellationStalenessS()
+        : cancellationSlackS() - delegateGrantS() * (1 + LeaseTiming.MAX_CLOCK_DRIFT_RATIO);
+  }
+
   /**
    * Returns the time after the start of a process for which it may renew leases before it knows any
    * cancellations, in seconds. The process that renewed them before was behind by at most {@link
--- a/src/main/java/graderelay/core/Claim.java
+++ b/src/main/java/graderelay/core/Claim.java
@@ -116,10 +116,11 @@
     return phase == Phase.COMMITTED && launchState == LaunchState.NONE && !fromEarlierLeader;
   }
 
-  /** True while a launch command may still start it although no heartbeat lists it. */
-  boolean hasUnresolvedLaunch() {
-    return launchState == LaunchState.DIRECT
-        || launchState == LaunchState.UNACKNOWLEDGED
-        || launchState == LaunchState.IN_RESPONSE;
+  /**
+   * True while a direct launch may still start it, however late it arrives. A launch in a heartbeat
+   * response is not executed late.
+   */
+  boolean hasUnresolvedDirectLaunch() {
+    return launchState == LaunchState.DIRECT || launchState == LaunchState.UNACKNOWLEDGED;
   }
 }
--- a/src/main/java/graderelay/core/LaunchFencing.java
+++ b/src/main/java/graderelay/core/LaunchFencing.java
@@ -5,6 +5,13 @@
 /**
  * Fences unacknowledged launches that block the stop of an attempt. The leader raises its term;
  * workers that have seen the new term refuse a launch with the old one, however late it arrives.
+ *
+ * <p>A worker executes a late launch as long as its session goes on and it has seen no higher term.
+ * So a launch of a cancelled job must not be outlived by leases that are renewed under its term:
+ * unless the term is raised, they are not renewed, nor may lease delegates be allowed to renew
+ * them, once they might otherwise be valid at the cancellation deadline. The cancellation was
+ * confirmed after the claim was sent, since the claim would have failed otherwise; so the time of
+ * the claim is the earliest time from which the deadline can count.
  */
 final class LaunchFencing {
   /** Seconds that an unacknowledged launch may block a stop before the term is raised. */
@@ -13,6 +20,9 @@
   /** Minimum seconds between raises: workers accept a higher term at most twice per lease. */
   private static final double MIN_RAISE_INTERVAL_S = 8;
 
+  /** Minimum seconds between raises while leases or grants are withheld. */
+  private static final double MIN_URGENT_RAISE_INTERVAL_S = 1;
+
   private final ClusterState cluster;
   private double lastRaiseAt = Double.NEGATIVE_INFINITY;
   private boolean raiseInFlight;
@@ -23,12 +33,12 @@
 
   /** Requests a new term if an unacknowledged launch has blocked a stop for too long. */
   void raiseTermIfBlocked(double now) {
-    if (raiseInFlight || now - lastRaiseAt < MIN_RAISE_INTERVAL_S) {
+    if (raiseInFlight || now - lastRaiseAt < MIN_URGENT_RAISE_INTERVAL_S) {
       return;
     }
     for (Machine machine : cluster.machines.values()) {
       for (Claim claim : machine.claims.values()) {
-        if (blocksStop(claim, now)) {
+        if (requiresRaise(claim, now)) {
           raiseInFlight = true;
           lastRaiseAt = now;
           cluster.log(describeBlockedStop(machine, claim, now));
@@ -39,6 +49,12 @@
     }
   }
 
+  private boolean requiresRaise(Claim claim, double now) {
+    Policy.LaunchFenceLimits limits = cluster.policy.launchFenceLimits();
+    return isOverdue(claim, Math.min(limits.renewalS(), limits.grantS()), now)
+        || (blocksStop(claim, now) && now - lastRaiseAt >= MIN_RAISE_INTERVAL_S);
+  }
+
   private boolean blocksStop(Claim claim, double now) {
     return claim.phase == Claim.Phase.COMMITTED
         && claim.launchState == Claim.LaunchState.UNACKNOWLEDGED
@@ -47,6 +63,50 @@
         && claim.launchTerm == cluster.term;
   }
 
+  /**
+   * True if a task of a cancelled job may still be launched under the present term, and so many
+   * seconds may have passed since the cancellation.
+   */
+  private boolean isOverdue(Claim claim, double limitS, double now) {
+    return claim.job.cancelRequested
+        && claim.phase == Claim.Phase.COMMITTED
+        && claim.hasUnresolvedDirectLaunch()
+        && claim.launchTerm == cluster.term
+        && now - claim.claimedAt > limitS;
+  }
+
+  /** True if the machine's lease may be renewed under the present term. */
+  boolean mayRenewLease(Machine machine, double now) {
+    if (machine == null) {
+      return true;
+    }
+    double limitS = cluster.policy.launchFenceLimits().renewalS();
+    for (Claim claim : machine.claims.values()) {
+      if (isOverdue(claim, limitS, now)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** True if a lease delegate may be allowed to renew leases in the zone under the present term. */
+  boolean mayGrantDelegation(String zone, double now) {
+    double limitS = cluster.policy.launchFenceLimits().grantS();
+    for (Job job : cluster.cancelledJobs) {
+      for (Claim claim : job.claims.values()) {
+        if (mayBeIn(zone, claim) && isOverdue(claim, limitS, now)) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+
+  private boolean mayBeIn(String zone, Claim claim) {
+    Machine machine = cluster.machines.get(claim.machine);
+    return machine == null || machine.zone == null || machine.zone.equals(zone);
+  }
+
   private String describeBlockedStop(Machine machine, Claim claim, double now) {
     return String.format(
         Locale.ROOT,
--- a/src/main/java/graderelay/core/LeaseDelegates.java
+++ b/src/main/java/graderelay/core/LeaseDelegates.java
@@ -12,42 +12,6 @@
  * autonomous.
  */
 final class LeaseDelegates {
-  /**
-   * A lease delegate's request for a grant.
-   *
-   * @param process distinguishes the delegate's process from earlier ones of the same member
-   * @param requestNumber number of the request within the process
-   * @param grantTerm term of the leader that issued its current grant, 0 without a grant
-   * @param lastReceivedGrantAt time on the leader's clock at which the last grant that it received
-   *     was sent
-   * @param autonomousAgeS seconds since it last renewed leases autonomously, or since its process
-   *     started
-   */
-  record GrantRequest(
-      String member,
-      String process,
-      long requestNumber,
-      long grantTerm,
-      double lastReceivedGrantAt,
-      double autonomousAgeS) {}
-
-  /**
-   * The release of a lease delegate's grants, which it sends when it reaches the key-value store
-   * but not the leader.
-   *
-   * @param process distinguishes the delegate's process from earlier ones of the same member
-   * @param lastRequestNumber number of the last request whose grant is released
-   * @param grantTerm term of the leader that issued its current grant
-   * @param autonomousAgeS seconds since it last renewed leases autonomously, or since its process
-   *     started
-   */
-  record GrantRelease(
-      String member,
-      String process,
-      long lastRequestNumber,
-      long grantTerm,
-      double autonomousAgeS) {}
-
   private static final class LeaseDelegate {
     final String zone;
     String process = "";
@@ -99,8 +63,14 @@
             delegatesByMember.put(member, new LeaseDelegate(zone, now + this.grantS)));
   }
 
+  /** The zone of a lease delegate, or null if the member is none. */
+  String zoneOf(String member) {
+    LeaseDelegate delegate = delegatesByMember.get(member);
+    return delegate == null ? null : delegate.zone;
+  }
+
   /** Issues a grant from now on; returns false if the member is not a lease delegate. */
-  boolean grant(GrantRequest request, double now) {
+  boolean grant(DelegationRequest request, double now) {
     LeaseDelegate delegate = delegatesByMember.get(request.member());
     if (delegate == null) {
       return false;
@@ -120,7 +90,7 @@
   }
 
   /** Withdraws the member's grants, unless a later one has been issued, which may be in effect. */
-  void release(GrantRelease release, double now) {
+  void release(DelegationRelease release, double now) {
     LeaseDelegate delegate = delegatesByMember.get(release.member());
     if (delegate != null
         && release.grantTerm() == term
--- a/src/main/java/graderelay/core/Policy.java
+++ b/src/main/java/graderelay/core/Policy.java
@@ -23,6 +23,8 @@
  * @param startObjectiveStepsS all start objectives by job class, in seconds, ascending
  * @param completionObjectivesS the shortest completion objective by job class, in seconds from
  *     submission to the job's end; classes without one are absent
+ * @param launchFenceLimits how long leases may be extended under the term of a launch that may
+ *     still start a task of a cancelled job
  * @param tuning settings that operators may change at run time
  */
 public record Policy(
@@ -39,8 +41,19 @@
     Map<String, Double> startObjectivesS,
     Map<String, List<Double>> startObjectiveStepsS,
     Map<String, Double> completionObjectivesS,
+    LaunchFenceLimits launchFenceLimits,
     Tuning tuning) {
 
+  /**
+   * How long a worker's lease may be extended while a direct launch of a cancelled job may still be
+   * executed under the worker's term. The lease has to expire in time for the cancellation.
+   *
+   * @param renewalS seconds after the cancellation in which a lease may be renewed
+   * @param grantS seconds after the cancellation in which lease delegates may be granted the right
+   *     to renew leases
+   */
+  public record LaunchFenceLimits(double renewalS, double grantS) {}
+
   /**
    * Settings that operators may change at run time.
    *
@@ -97,6 +110,7 @@
         startObjectivesS,
         startObjectiveStepsS,
         completionObjectivesS,
+        launchFenceLimits,
         newTuning);
   }
 
--- a/src/main/java/graderelay/core/Scheduler.java
+++ b/src/main/java/graderelay/core/Scheduler.java
@@ -184,6 +184,14 @@
         heartbeat, HeartbeatOrigin.workerInitiated(controller), now);
   }
 
+  /**
+   * True if the lease of a machine may be renewed under the present term. It must run out if a task
+   * of a cancelled job could otherwise still be launched there after the cancellation deadline.
+   */
+  public boolean mayRenewLease(String machine, double now) {
+    return workerControl.fencing().mayRenewLease(cluster.machines.get(machine), now);
+  }
+
   /** Records that a heartbeat was responded to; the worker's lease cannot start later than that. */
   public void onHeartbeatResponse(String machine, double now) {
     heartbeatHandler.onHeartbeatResponse(machine, now);
@@ -207,46 +215,22 @@
   // ---------------------------------------------------------------- lease delegates
 
   /**
-   * Handles the request of another controller for a grant as lease delegate of its zone.
-   *
-   * @param process id of its process, distinct from earlier processes of the same member
-   * @param requestNumber sequence number of the request within its process
-   * @param grantTerm term of the leader whose grant it holds, or 0 without a grant
-   * @param lastGrantReceivedAt when this leader sent the last grant that it has received, on the
-   *     leader's clock
-   * @param secondsSinceAutonomous seconds since it last renewed leases on its own, or since its
-   *     process started
-   * @return false if the member is not a lease delegate of this leader
+   * Handles the request of another controller for a grant as lease delegate of its zone; returns
+   * false if it must not have one now.
    */
-  public boolean onDelegateGrantRequest(
-      String member,
-      String process,
-      long requestNumber,
-      long grantTerm,
-      double lastGrantReceivedAt,
-      double secondsSinceAutonomous,
-      double now) {
-    return cluster.delegates.grant(
-        new LeaseDelegates.GrantRequest(
-            member, process, requestNumber, grantTerm, lastGrantReceivedAt, secondsSinceAutonomous),
-        now);
+  public boolean onDelegationRequest(DelegationRequest request, double now) {
+    return mayGrantDelegation(cluster.delegates.zoneOf(request.member()), now)
+        && cluster.delegates.grant(request, now);
   }
 
-  /**
-   * Handles the release of grants by a lease delegate that cannot reach this leader, up to the
-   * grant for its request {@code requestNumber}; see {@link #onDelegateGrantRequest}.
-   */
-  public void onDelegateGrantRelease(
-      String member,
-      String process,
-      long requestNumber,
-      long grantTerm,
-      double secondsSinceAutonomous,
-      double now) {
-    cluster.delegates.release(
-        new LeaseDelegates.GrantRelease(
-            member, process, requestNumber, grantTerm, secondsSinceAutonomous),
-        now);
+  /** True if leases in the zone may be renewed for the duration of a grant from now on. */
+  public boolean mayGrantDelegation(String zone, double now) {
+    return zone != null && workerControl.fencing().mayGrantDelegation(zone, now);
+  }
+
+  /** Handles the release of grants by a lease delegate that cannot reach this leader. */
+  public void onDelegationRelease(DelegationRelease release, double now) {
+    cluster.delegates.release(release, now);
   }
 
   // ---------------------------------------------------------------- the cloud
--- a/src/main/java/graderelay/service/ControllerComponents.java
+++ b/src/main/java/graderelay/service/ControllerComponents.java
@@ -92,6 +92,7 @@
     this.leaseDelegate =
         new LeaseDelegate(
             loop, peerClient, leadership, cache, state, cancellations, settings, random.nextLong());
+    leaseDelegate.setGrantCondition(leaderLifecycle::mayGrantDelegation);
     this.requestHedger = newRequestHedger();
     this.readiness =
         new Readiness(
--- a/src/main/java/graderelay/service/LeaderLifecycle.java
+++ b/src/main/java/graderelay/service/LeaderLifecycle.java
@@ -12,6 +12,7 @@
 import graderelay.wire.PeerRequest;
 import graderelay.wire.PeerResponse;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -90,17 +91,25 @@
 
   /**
    * Handles a heartbeat and returns the worker commands for the response; none while there is no
-   * leader term.
+   * leader term. Empty if the worker's lease must not be renewed.
    */
-  List<WorkerCommand> onHeartbeat(Heartbeat heartbeat, String receivingController) {
+  Optional<List<WorkerCommand>> onHeartbeat(Heartbeat heartbeat, String receivingController) {
     // A leader that is still loading the records renews worker leases without sending commands.
     // This is safe because it measures the leases from the start of its leader term, which is
     // later.
     return currentTerm == null
-        ? List.of()
+        ? Optional.of(List.of())
         : currentTerm.onHeartbeat(heartbeat, receivingController);
   }
 
+  /**
+   * True if this leader may renew worker leases in its zone, as its lease delegate, for the
+   * duration of a grant from now on.
+   */
+  boolean mayGrantDelegation(String zone) {
+    return currentTerm == null || core().mayGrantDelegation(zone, loop.now());
+  }
+
   /**
    * Handles a peer's request to become the lease delegate of its zone. It is granted only while
    * this controller may act as the leader, and only if the core knows the peer's process. The
--- a/src/main/java/graderelay/service/LeaderTerm.java
+++ b/src/main/java/graderelay/service/LeaderTerm.java
@@ -3,6 +3,7 @@
 import graderelay.cloud.CloudClient;
 import graderelay.config.OperatorSettings;
 import graderelay.config.Settings;
+import graderelay.core.DelegationRequest;
 import graderelay.core.Heartbeat;
 import graderelay.core.MachineType;
 import graderelay.core.Policy;
@@ -17,6 +18,7 @@
 import graderelay.wire.PeerRequest;
 import graderelay.wire.PeerResponse;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.DoubleConsumer;
 import java.util.random.RandomGenerator;
 
@@ -180,41 +182,46 @@
   // ---------------------------------------------------------------- heartbeats and peers
 
   /**
-   * Handles a heartbeat and returns the worker commands for the response. The caller must have
-   * checked that this controller may act as the leader.
+   * Handles a heartbeat and returns the worker commands for the response, or empty if the worker's
+   * lease must not be renewed. The caller must have checked that this controller may act as the
+   * leader.
    *
    * @param receivingController the controller that the worker sent the heartbeat to
    */
-  List<WorkerCommand> onHeartbeat(Heartbeat heartbeat, String receivingController) {
+  Optional<List<WorkerCommand>> onHeartbeat(Heartbeat heartbeat, String receivingController) {
     double now = loop.now();
-    boolean accepted = core.onHeartbeat(heartbeat, receivingController, now);
+    final boolean accepted = core.onHeartbeat(heartbeat, receivingController, now);
     if (core.staleHeartbeatCount() > countedStaleHeartbeats) {
       countedStaleHeartbeats = core.staleHeartbeatCount();
       metrics.count("graderelay.dropped", "what", "stale report");
     }
+    scheduleStep();
+    if (!core.mayRenewLease(heartbeat.machine(), now)) {
+      metrics.count("graderelay.dropped", "what", "unfenced report");
+      return Optional.empty();
+    }
     List<WorkerCommand> commands = core.commandsFor(heartbeat, now);
     if (accepted) {
       core.onHeartbeatResponse(heartbeat.machine(), now);
     }
-    scheduleStep();
-    return commands;
+    return Optional.of(commands);
   }
 
   /**
    * Handles a peer's request to become a lease delegate. The caller must have checked that this
-   * controller may act as the leader. Returns null if the core does not know the incarnation of the
-   * peer's process.
+   * controller may act as the leader. Returns null if the peer must not have a grant now.
    */
   PeerResponse.Grant grantLeaseDelegation(PeerRequest.Delegation request) {
     double now = loop.now();
     boolean granted =
-        core.onDelegateGrantRequest(
-            request.member(),
-            request.incarnation(),
-            request.sequenceNumber(),
-            request.grantorTerm(),
-            request.leaderTime(),
-            request.sinceAutonomousResponseS(),
+        core.onDelegationRequest(
+            new DelegationRequest(
+                request.member(),
+                request.incarnation(),
+                request.sequenceNumber(),
+                request.grantorTerm(),
+                request.leaderTime(),
+                request.sinceAutonomousResponseS()),
             now);
     return granted ? new PeerResponse.Grant(leadership.term(), electedTerm, now) : null;
   }
--- a/src/main/java/graderelay/service/RecordFeed.java
+++ b/src/main/java/graderelay/service/RecordFeed.java
@@ -1,5 +1,6 @@
 package graderelay.service;
 
+import graderelay.core.DelegationRelease;
 import graderelay.core.Scheduler;
 import graderelay.core.TaskBatchKey;
 import graderelay.features.Feature;
@@ -126,12 +127,13 @@
 
   /** Handles the record in which a lease delegate releases its grants. */
   void onDelegateReleased(String member, StateCodec.DelegateRelease release) {
-    core.onDelegateGrantRelease(
-        member,
-        release.incarnation(),
-        release.releasedUpTo(),
-        release.grantorTerm(),
-        release.sinceAutonomousResponseS(),
+    core.onDelegationRelease(
+        new DelegationRelease(
+            member,
+            release.incarnation(),
+            release.releasedUpTo(),
+            release.grantorTerm(),
+            release.sinceAutonomousResponseS()),
         loop.now());
   }
 }
--- a/src/main/java/graderelay/service/SchedulerPolicy.java
+++ b/src/main/java/graderelay/service/SchedulerPolicy.java
@@ -36,6 +36,8 @@
         settings.startObjectivesS(),
         settings.startObjectiveStepsS(),
         settings.completionObjectivesS(),
+        new Policy.LaunchFenceLimits(
+            settings.maxCancellationStalenessS(), settings.maxGrantAfterCancellationS()),
         operatorSettings.tuning());
   }
 
--- a/src/main/java/graderelay/state/Cancellations.java
+++ b/src/main/java/graderelay/state/Cancellations.java
@@ -109,6 +109,11 @@
     return isRecorded(job) || learnedAt.containsKey(job);
   }
 
+  /** True if a job that is known to be cancelled may still have tasks on workers. */
+  public boolean hasUnfinished() {
+    return !learnedAt.isEmpty() || !cache.cancelledJobs().isEmpty();
+  }
+
   /** The time up to which every cancellation that was confirmed to a user is known. */
   public double completeAsOf() {
     return Math.max(cache.completeAsOf(), completeAsOfFromPeers);
--- a/src/main/java/graderelay/state/ElectionAttempt.java
+++ b/src/main/java/graderelay/state/ElectionAttempt.java
@@ -3,6 +3,7 @@
 import graderelay.net.Loop;
 import graderelay.net.TokenBucket.CallPriority;
 import graderelay.wire.StateCodec;
+import graderelay.wire.StateCodec.TermRecord;
 import graderelay.wire.StoreCodec.StoreEntry;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -25,7 +26,7 @@
   private final Consumer<Optional<WonElection>> done;
   private final double leaseRequestedAt;
   private long sessionLease;
-  private long term;
+  private TermRecord terms;
 
   /**
    * Creates an attempt that is started at once with {@link #start}.
@@ -66,7 +67,7 @@
   }
 
   private void writeLeaderRecord() {
-    term = cache.term() + 1;
+    terms = TermReservation.from(cache.term() + 1, self.member());
     if (ownSuspension.mustStartLeaving()) {
       abort(); // Suspended, possibly again, while the lease was created.
       return;
@@ -89,10 +90,10 @@
         new Transaction()
             .when(election.leaderKey(), 0)
             .when(StateCodec.TERM, election.termRevision())
-            .put(StateCodec.TERM, StateCodec.encodeTerm(term, self.member()))
+            .put(StateCodec.TERM, StateCodec.encodeTerm(terms))
             .put(
                 election.leaderKey(),
-                StateCodec.encodeLeader(self.leaderRecord(term)),
+                StateCodec.encodeLeader(self.leaderRecord(terms.firstTerm())),
                 sessionLease);
     ownSuspension.deleteIn(transaction);
     return transaction;
@@ -121,12 +122,13 @@
   private boolean isOwnRecord(StoreEntry entry) {
     StateCodec.LeaderRecord record = StateCodec.decodeLeader(entry.value());
     return record.member().equals(self.member())
-        && record.term() == term
+        && record.term() == terms.firstTerm()
         && entry.sessionLease() == sessionLease;
   }
 
   private void finishWon(long leaderRevision) {
-    done.accept(Optional.of(new WonElection(term, leaderRevision, sessionLease, leaseRequestedAt)));
+    done.accept(
+        Optional.of(new WonElection(terms, leaderRevision, sessionLease, leaseRequestedAt)));
   }
 
   /** Revokes the session lease, so that no leader record can be attached to it later. */
--- a/src/main/java/graderelay/state/ElectionRecords.java
+++ b/src/main/java/graderelay/state/ElectionRecords.java
@@ -5,6 +5,7 @@
 import graderelay.wire.StateCodec;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 
 /**
  * This controller's cache of the election records: the leader, the term, and the suspensions from
@@ -64,9 +65,8 @@
   private final FeatureRecords features;
   private final Layout unsealed = new Layout(StateCodec.LEADER, StateCodec.SUSPENSIONS);
   private final Layout sealed = new Layout(FeatureCodec.LEADER, FeatureCodec.SUSPENSIONS);
-  private long term;
+  private StateCodec.TermRecord terms = new StateCodec.TermRecord(0, 0, "");
   private long termRevision;
-  private String termWinner = "";
 
   ElectionRecords(FeatureRecords features) {
     this.features = features;
@@ -111,9 +111,22 @@
     return unsealed.suspensions.containsKey(member);
   }
 
-  /** The highest term that was ever won. */
+  /** The highest term that any leader has ever reserved. */
   public long term() {
-    return term;
+    return terms.lastTerm();
+  }
+
+  /**
+   * The term under which worker leases may be renewed without a leader: it is higher than any that
+   * the last leader may have sent commands with. Empty if that leader reserved no such term.
+   */
+  public OptionalLong leaderlessTerm() {
+    return terms.isSingleTerm() ? OptionalLong.empty() : OptionalLong.of(terms.lastTerm());
+  }
+
+  /** True if the last leader reserved this term, or a range of terms that includes it. */
+  public boolean isTermOfLastLeader(long term) {
+    return terms.firstTerm() <= term && term <= terms.lastTerm();
   }
 
   /** The revision of the term record, 0 if there is none. */
@@ -123,7 +136,7 @@
 
   /** The member that won the last term, empty if there was none. */
   public String termWinner() {
-    return termWinner;
+    return terms.member();
   }
 
   /**
@@ -144,9 +157,7 @@
   boolean put(String key, JsonNode value, long revision) {
     if (key.equals(StateCodec.TERM)) {
       if (revision > termRevision) {
-        StateCodec.TermRecord record = StateCodec.decodeTerm(value);
-        term = record.term();
-        termWinner = record.member();
+        terms = StateCodec.decodeTerm(value);
         termRevision = revision;
       }
       return true;
--- a/src/main/java/graderelay/state/LeaderHandover.java
+++ b/src/main/java/graderelay/state/LeaderHandover.java
@@ -47,7 +47,7 @@
   /** Steps down and hands the leadership over to a peer. */
   void handOverTo(Settings.Peer peer) {
     long sessionLease = status.sessionLease();
-    long term = status.term();
+    long term = status.lastReservedTerm();
     stepDown.accept(
         "only this controller can't reach the key-value store; handing the leadership over to "
             + peer.member());
--- a/src/main/java/graderelay/state/LeaderPledges.java
+++ b/src/main/java/graderelay/state/LeaderPledges.java
@@ -77,11 +77,11 @@
     if (!requesting) {
       return;
     }
-    long term = status.term();
+    long term = status.lastReservedTerm();
     pledgeRequests.sendToAll(
         new PeerRequest.Pledge(member, term, ElectionTiming.LEADER_PLEDGE_S),
         (peer, sentAt, answer) -> {
-          if (!status.isLeader() || status.term() != term) {
+          if (!status.isLeader() || status.lastReservedTerm() != term) {
             return;
           }
           if (answer.granted()) {
--- a/src/main/java/graderelay/state/LeaderStatus.java
+++ b/src/main/java/graderelay/state/LeaderStatus.java
@@ -1,14 +1,17 @@
 package graderelay.state;
 
+import graderelay.wire.StateCodec.TermRecord;
+
 /**
- * Whether this controller leads, with its term, the revision of its leader record and the session
- * lease that the record is attached to. These three keep their last values after the leadership has
- * ended.
+ * Whether this controller leads, with its term, the terms that it has reserved, the revision of its
+ * leader record and the session lease that the record is attached to. These keep their last values
+ * after the leadership has ended.
  */
 final class LeaderStatus {
   private boolean leader;
   private boolean closed;
   private long term;
+  private long lastReservedTerm;
   private long leaderRevision;
   private long sessionLease;
 
@@ -37,6 +40,14 @@
     return term;
   }
 
+  /**
+   * The last term that is reserved for the current leadership, or was for the last one. The term
+   * record in the key-value store shows it, so controllers compare leaderships by it.
+   */
+  long lastReservedTerm() {
+    return lastReservedTerm;
+  }
+
   /** The revision of the leader record that this controller last wrote. */
   long leaderRevision() {
     return leaderRevision;
@@ -50,16 +61,32 @@
   void startLeading(WonElection won) {
     leader = true;
     term = won.term();
+    lastReservedTerm = won.terms().lastTerm();
     leaderRevision = won.leaderRevision();
     sessionLease = won.sessionLease();
   }
 
-  /** Sets the higher term and the revision with which the leader record was rewritten. */
-  void raiseTerm(long newTerm, long newLeaderRevision) {
-    term = newTerm;
+  /** Sets newly reserved terms and the revision with which the leader record was rewritten. */
+  void raiseTerm(TermRecord newTerms, long newLeaderRevision) {
+    term = newTerms.firstTerm();
+    lastReservedTerm = newTerms.lastTerm();
     leaderRevision = newLeaderRevision;
   }
 
+  /**
+   * Raises the term to the next reserved one. The last one is not used by a leader, see {@link
+   * TermReservation}.
+   *
+   * @return false if there is none left
+   */
+  boolean raiseTermWithinReservation() {
+    if (term + 1 >= lastReservedTerm) {
+      return false;
+    }
+    term++;
+    return true;
+  }
+
   /** Marks this controller as a follower. */
   void stopLeading() {
     leader = false;
--- a/src/main/java/graderelay/state/Leadership.java
+++ b/src/main/java/graderelay/state/Leadership.java
@@ -2,6 +2,7 @@
 
 import graderelay.net.Loop;
 import graderelay.peer.PeerClient;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 
@@ -37,6 +38,7 @@
   private final LeaderHandover handover;
   private final LeaderPledges leaderPledges;
   private final LeaderlessPledges leaderlessPledges;
+  private final LeaderlessTerm leaderlessTerm;
   private final LeaderElection election;
   private final LeaderTenure tenure;
   private final TermRaise termRaise;
@@ -97,6 +99,7 @@
             cache.features().gate(),
             pledgeRequests,
             peerMonitor);
+    this.leaderlessTerm = new LeaderlessTerm(cache, cancellations);
     this.election = newElection(loop, sessionLeaseS, random);
     this.tenure = newTenure();
     this.termRaise = new TermRaise(stateClient, cache, self, status, tenure, this::reconcile);
@@ -173,12 +176,17 @@
   }
 
   /**
-   * True if this controller may renew worker leases although there is no leader: the key-value
-   * store is unavailable, and every other controller has pledged not to stand for election or is
-   * suspended. The only worker commands that it may send are kills of cancelled tasks.
+   * Returns the term under which this controller may renew the lease of a worker although there is
+   * no leader: the key-value store is unavailable, and every other controller has pledged not to
+   * stand for election or is suspended. The only worker commands that it may send are kills of
+   * cancelled tasks. Empty if it must not renew the lease.
+   *
+   * @param reportedTerm the highest term that the worker has seen
    */
-  public boolean mayRenewLeasesWithoutLeader() {
-    return leaderlessPledges.mayRenewLeases();
+  public OptionalLong leaderlessTerm(long reportedTerm) {
+    return reportedTerm > 0 && leaderlessPledges.mayRenewLeases()
+        ? leaderlessTerm.forWorker(reportedTerm)
+        : OptionalLong.empty();
   }
 
   // ---------------------------------------------------------------- events
--- a/src/main/java/graderelay/state/LevelChange.java
+++ b/src/main/java/graderelay/state/LevelChange.java
@@ -54,6 +54,7 @@
   Transaction transaction(
       FeatureRecords features,
       ElectionRecords election,
+      StateCodec.TermRecord terms,
       StateCodec.LeaderRecord leader,
       long leaderRevision,
       long sessionLease) {
@@ -62,7 +63,7 @@
             .when(election.leaderKey(), leaderRevision)
             .when(StateCodec.TERM, election.termRevision())
             .put(FeatureCodec.LEVEL, FeatureCodec.encodeLevel(newLevel))
-            .put(StateCodec.TERM, StateCodec.encodeTerm(leader.term(), leader.member()));
+            .put(StateCodec.TERM, StateCodec.encodeTerm(terms));
     unchangedMembers.forEach(
         member -> transaction.when(FeatureCodec.memberKey(member.name()), member.revision()));
     if (unsealsElections(features)) {
--- a/src/main/java/graderelay/state/PeerMonitor.java
+++ b/src/main/java/graderelay/state/PeerMonitor.java
@@ -129,7 +129,7 @@
     if (!requestingStatus) {
       return;
     }
-    long term = status.term();
+    long term = status.lastReservedTerm();
     for (Settings.Peer peer : peerClient.peers()) {
       peerClient.send(
           peer.address(),
@@ -147,7 +147,7 @@
     if (answer != null) {
       lastAnswerAt.put(peer, loop.now());
     }
-    if (status.isActiveLeader() && status.term() == term) {
+    if (status.isActiveLeader() && status.lastReservedTerm() == term) {
       lending.updateDemand(peer, answer == null ? 0 : answer.changeDemand());
     }
   }
--- a/src/main/java/graderelay/state/TermRaise.java
+++ b/src/main/java/graderelay/state/TermRaise.java
@@ -2,14 +2,16 @@
 
 import graderelay.net.TokenBucket.CallPriority;
 import graderelay.wire.StateCodec;
+import graderelay.wire.StateCodec.TermRecord;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Raises the term while this controller leads, so that workers refuse commands of the old term;
- * either alone, or together with a change of the cluster's feature level.
+ * Raises the term while this controller leads, so that workers refuse commands of the old term:
+ * within the reserved terms, which needs no access to the key-value store, or by reserving further
+ * ones there, alone or together with a change of the cluster's feature level.
  */
 final class TermRaise {
   private static final Logger LOG = LoggerFactory.getLogger("owner");
@@ -44,18 +46,28 @@
 
   /** Raises the term; calls back with the new term, or with 0 on failure. */
   void raise(Consumer<Long> done) {
-    if (!tenure.mayAct() || inProgress) {
+    if (!tenure.mayAct()) {
       done.accept(0L);
-      return;
+    } else if (status.raiseTermWithinReservation()) {
+      LOG.info("raised the term to {}", status.term());
+      done.accept(status.term());
+    } else if (inProgress) {
+      done.accept(0L);
+    } else {
+      raiseInStore(done);
     }
+  }
+
+  private void raiseInStore(Consumer<Long> done) {
     inProgress = true;
-    long newTerm = status.term() + 1;
+    TermRecord newTerms = newTerms();
+    long newTerm = newTerms.firstTerm();
     ElectionRecords election = cache.election();
     Transaction transaction =
         new Transaction()
             .when(election.leaderKey(), status.leaderRevision())
             .when(StateCodec.TERM, election.termRevision())
-            .put(StateCodec.TERM, StateCodec.encodeTerm(newTerm, self.member()))
+            .put(StateCodec.TERM, StateCodec.encodeTerm(newTerms))
             .put(
                 election.leaderKey(),
                 StateCodec.encodeLeader(self.leaderRecord(newTerm)),
@@ -67,11 +79,16 @@
           if (!result.succeeded()) {
             LOG.info("raising the term to {} failed: {}", newTerm, result.outcome());
           }
-          onResult(newTerm, result);
+          onResult(newTerms, result);
           done.accept(result.succeeded() ? newTerm : 0L);
         });
   }
 
+  /** The terms that follow the ones reserved so far. */
+  private TermRecord newTerms() {
+    return TermReservation.from(status.lastReservedTerm() + 1, self.member());
+  }
+
   /**
    * Changes the cluster's feature level and raises the term.
    *
@@ -98,17 +115,19 @@
       return;
     }
     inProgress = true;
-    long newTerm = status.term() + 1;
+    TermRecord newTerms = newTerms();
+    long newTerm = newTerms.firstTerm();
     stateClient.commit(
         change.transaction(
             cache.features(),
             cache.election(),
+            newTerms,
             self.leaderRecord(newTerm),
             status.leaderRevision(),
             status.sessionLease()),
         CallPriority.RENEWAL,
         result -> {
-          onResult(newTerm, result);
+          onResult(newTerms, result);
           if (result.succeeded()) {
             // Earlier, the transactions of this leader would be conditioned on the old level.
             cache.catchUp(caughtUp -> onRaised.accept(newTerm));
@@ -117,11 +136,11 @@
         });
   }
 
-  private void onResult(long newTerm, StoreResult result) {
+  private void onResult(TermRecord newTerms, StoreResult result) {
     inProgress = false;
     if (result.succeeded()) {
-      status.raiseTerm(newTerm, result.revision());
-      LOG.info("raised the term to {}", newTerm);
+      status.raiseTerm(newTerms, result.revision());
+      LOG.info("raised the term to {}", status.term());
     } else if (result.outcome() == StoreOutcome.UNKNOWN) {
       // Writes are conditioned on the revision of the leader record, which depends on whether the
       // raise was committed. A new election is simpler than finding out.
--- a/src/main/java/graderelay/wire/ElectionRecordCodec.java
+++ b/src/main/java/graderelay/wire/ElectionRecordCodec.java
@@ -16,6 +16,9 @@
   static final String MEMBER = "member";
   static final String TERM = "term";
 
+  /** Wire name "first": the first of the terms that are reserved up to {@link #TERM}. */
+  static final String FIRST_TERM = "first";
+
   /** Wire name "mesh": the address at which other controllers reach the leader. */
   static final String PEER_ADDRESS = "mesh";
 
@@ -51,12 +54,14 @@
         n.path(MEMBER).asText(), n.path(TERM).asLong(), n.path(PEER_ADDRESS).asText());
   }
 
-  static ObjectNode encodeTerm(long term, String member) {
-    return Json.object().put(TERM, term).put(MEMBER, member);
+  static ObjectNode encodeTerm(TermRecord terms) {
+    ObjectNode n = Json.object().put(TERM, terms.lastTerm()).put(MEMBER, terms.member());
+    return terms.isSingleTerm() ? n : n.put(FIRST_TERM, terms.firstTerm());
   }
 
   static TermRecord decodeTerm(JsonNode n) {
-    return new TermRecord(n.path(TERM).asLong(), n.path(MEMBER).asText());
+    long lastTerm = n.path(TERM).asLong();
+    return new TermRecord(n.path(FIRST_TERM).asLong(lastTerm), lastTerm, n.path(MEMBER).asText());
   }
 
   static ObjectNode encodeSuspension(String leavingIncarnation) {
--- a/src/main/java/graderelay/wire/StateCodec.java
+++ b/src/main/java/graderelay/wire/StateCodec.java
@@ -86,11 +86,19 @@
   public record LeaderRecord(String member, long term, String peerAddress) {}
 
   /**
-   * The last term.
+   * The terms of the last leader, none of which any later leader uses. An earlier version of this
+   * program reserves a single term.
    *
-   * @param member the controller that won its election
+   * @param firstTerm the term in which it was elected, or to which it last raised its term here
+   * @param lastTerm the last term that it has reserved
+   * @param member the controller that won the election
    */
-  public record TermRecord(long term, String member) {}
+  public record TermRecord(long firstTerm, long lastTerm, String member) {
+    /** True if no term is reserved beyond the first one. */
+    public boolean isSingleTerm() {
+      return firstTerm == lastTerm;
+    }
+  }
 
   /**
    * A suspension ("bar"), which keeps an unresponsive controller from winning an election.
@@ -123,12 +131,12 @@
     return ElectionRecordCodec.decodeLeader(n);
   }
 
-  /** Encodes the last term and the controller that won its election. */
-  public static ObjectNode encodeTerm(long term, String member) {
-    return ElectionRecordCodec.encodeTerm(term, member);
+  /** Encodes the terms of the last leader. */
+  public static ObjectNode encodeTerm(TermRecord terms) {
+    return ElectionRecordCodec.encodeTerm(terms);
   }
 
-  /** Decodes the last term. */
+  /** Decodes the terms of the last leader. */
   public static TermRecord decodeTerm(JsonNode n) {
     return ElectionRecordCodec.decodeTerm(n);
   }
--- a/src/main/java/graderelay/wire/package-info.java
+++ b/src/main/java/graderelay/wire/package-info.java
@@ -16,7 +16,8 @@
  *     <td>{@link graderelay.wire.TransactionCodec}</td></tr>
  *   <tr><td>g/owner</td><td>leader</td><td>{@link graderelay.wire.StateCodec}</td></tr>
  *   <tr><td>mesh</td><td>peer address of the leader</td><td>StateCodec</td></tr>
- *   <tr><td>g/term</td><td>last term (fencing token)</td><td>StateCodec</td></tr>
+ *   <tr><td>g/term</td><td>reserved terms (fencing tokens): term is the last one, first the
+ *     first</td><td>StateCodec</td></tr>
  *   <tr><td>g/bar/</td><td>suspension from election</td><td>StateCodec</td></tr>
  *   <tr><td>g/deputy/</td><td>release of a lease delegate's grants</td><td>StateCodec</td></tr>
  *   <tr><td>g/slice/</td><td>task batch</td><td>StateCodec</td></tr>
--- a/src/main/java/graderelay/worker/DelegationRequests.java
+++ b/src/main/java/graderelay/worker/DelegationRequests.java
@@ -13,6 +13,7 @@
 import graderelay.wire.PeerRequest;
 import graderelay.wire.PeerResponse;
 import graderelay.wire.StateCodec;
+import java.util.function.BooleanSupplier;
 
 /**
  * Renews a {@link DelegationGrant}: requests it from the leader every second, and releases it
@@ -53,6 +54,7 @@
   /** True if the grant was released and the store has not confirmed the record of the release. */
   private boolean releasePending;
 
+  private BooleanSupplier mayGrantToSelf = () -> true;
   private Loop.Timer timer;
   private boolean closed;
 
@@ -77,6 +79,11 @@
     this.processId = Long.toHexString(nonce);
   }
 
+  /** Sets the condition under which a leader renews the grant that it holds itself. */
+  void setGrantCondition(BooleanSupplier mayGrant) {
+    mayGrantToSelf = mayGrant;
+  }
+
   /** Sends the first request and starts the timer for further requests. */
   void start() {
     tick();
@@ -116,7 +123,9 @@
     StateCodec.LeaderRecord leader = cache.leader();
     String address = leader == null ? null : peerClient.addressOf(leader.member());
     if (leadership.mayActAsLeader()) {
-      grant.grantToSelf(leadership.term(), now);
+      if (mayGrantToSelf.getAsBoolean()) {
+        grant.grantToSelf(leadership.term(), now);
+      }
     } else if (address != null) {
       requestGrant(address, now);
     }
--- a/src/main/java/graderelay/worker/LeaseDelegate.java
+++ b/src/main/java/graderelay/worker/LeaseDelegate.java
@@ -7,9 +7,12 @@
 import graderelay.peer.PeerClient;
 import graderelay.state.Cache;
 import graderelay.state.Cancellations;
+import graderelay.state.ElectionRecords;
 import graderelay.state.ElectionTiming;
 import graderelay.state.Leadership;
 import graderelay.state.StateClient;
+import java.util.OptionalLong;
+import java.util.function.Predicate;
 
 /**
  * Renews the leases of this zone's workers while the zone is partitioned from the leader and the
@@ -82,7 +85,7 @@
             && !cache.features().gate().isClosed()
             && isPartitioned(now)
             && zone.equals(heartbeat.zone())
-            && heartbeat.term() <= grant.term()
+            && isTermCovered(heartbeat.term())
             && cancellations.mayRenewLeases();
     if (authorized) {
       grant.onAutonomousResponse(now);
@@ -99,8 +102,27 @@
         && state.health().failingForS() > ElectionTiming.STORE_UNAVAILABLE_AFTER_S;
   }
 
-  /** The term to send in responses to workers. */
-  public long term() {
-    return grant.term();
+  /**
+   * True if the worker has seen no later leader than the one that issued the grant: its term is not
+   * higher than the grant's, or its lease was renewed without a leader after that one.
+   */
+  private boolean isTermCovered(long reportedTerm) {
+    ElectionRecords election = cache.election();
+    return reportedTerm <= grant.term()
+        || (election.leaderlessTerm().equals(OptionalLong.of(reportedTerm))
+            && election.isTermOfLastLeader(grant.term()));
+  }
+
+  /** The term to send in the response to a worker's heartbeat. */
+  public long termFor(Heartbeat heartbeat) {
+    return Math.max(grant.term(), heartbeat.term());
+  }
+
+  /**
+   * Sets the condition under which a leader renews the grant that it holds itself for its zone, see
+   * {@link graderelay.core.Scheduler#mayGrantDelegation}.
+   */
+  public void setGrantCondition(Predicate<String> mayGrant) {
+    requests.setGrantCondition(() -> mayGrant.test(zone));
   }
 }
--- a/src/main/java/graderelay/worker/WorkerApi.java
+++ b/src/main/java/graderelay/worker/WorkerApi.java
@@ -16,6 +16,8 @@
 import graderelay.wire.StateCodec;
 import graderelay.wire.WorkerCodec;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 
 /**
@@ -37,10 +39,10 @@
      * Processes a heartbeat.
      *
      * @param relayedBy the member that relayed the heartbeat, or "" if the worker sent it directly
-     * @return the commands for the worker, never null; empty while the leader is still loading the
-     *     stored records
+     * @return the commands for the worker, none while the leader is still loading the stored
+     *     records; empty if the worker's lease must not be renewed
      */
-    List<WorkerCommand> onHeartbeat(Heartbeat heartbeat, String relayedBy);
+    Optional<List<WorkerCommand>> onHeartbeat(Heartbeat heartbeat, String relayedBy);
   }
 
   private final Loop loop;
@@ -86,19 +88,21 @@
     Heartbeat heartbeat = WorkerCodec.decodeHeartbeat(Json.read(exchange.body()));
     if (heartbeat == null) {
       rejectMalformed(exchange.responder());
-    } else if (cache.features().gate().isClosed()) {
+      return;
+    }
+    OptionalLong leaderlessTerm = leadership.leaderlessTerm(heartbeat.term());
+    if (cache.features().gate().isClosed()) {
       redirect(exchange.responder(), leaderName(cache.leader()));
     } else if (leadership.isLeader()) {
       answerAsLeader(heartbeat, "", exchange.responder());
-    } else if (leadership.mayRenewLeasesWithoutLeader()
-        && heartbeat.term() > 0
-        && cancellations.mayRenewLeases()) {
-      // Uses the worker's own term: this renews its lease and kills its cancelled tasks.
+    } else if (leaderlessTerm.isPresent() && cancellations.mayRenewLeases()) {
       respondWithLeaseRenewal(
-          exchange.responder(), heartbeat.term(), cancellations.killCommands(heartbeat));
+          exchange.responder(), leaderlessTerm.getAsLong(), cancellations.killCommands(heartbeat));
     } else if (leaseDelegate.tryAuthorizeResponse(heartbeat)) {
       respondWithLeaseRenewal(
-          exchange.responder(), leaseDelegate.term(), cancellations.killCommands(heartbeat));
+          exchange.responder(),
+          leaseDelegate.termFor(heartbeat),
+          cancellations.killCommands(heartbeat));
     } else {
       leadership.collectLeaderlessPledges();
       relayOrRedirect(exchange, heartbeat);
@@ -116,10 +120,15 @@
   }
 
   private void answerAsLeader(Heartbeat heartbeat, String relayedBy, Consumer<Response> responder) {
-    if (leadership.mayActAsLeader() && cancellations.mayRenewLeases()) {
-      List<WorkerCommand> commands = scheduler.onHeartbeat(heartbeat, relayedBy);
+    Optional<List<WorkerCommand>> commands =
+        leadership.mayActAsLeader() && cancellations.mayRenewLeases()
+            ? scheduler.onHeartbeat(heartbeat, relayedBy)
+            : Optional.empty();
+    if (commands.isPresent()) {
       respondWithLeaseRenewal(
-          responder, leadership.term(), cancellations.prependKillCommands(heartbeat, commands));
+          responder,
+          leadership.term(),
+          cancellations.prependKillCommands(heartbeat, commands.get()));
     } else {
       redirect(responder, null);
     }
--- a/src/test/java/graderelay/core/SchedulerFixture.java
+++ b/src/test/java/graderelay/core/SchedulerFixture.java
@@ -10,6 +10,12 @@
 
 /** Creates schedulers without a controller or network, and drives them in tests of the core. */
 public final class SchedulerFixture {
+  /** Seconds after a cancellation in which leases may be renewed under an unfenced term. */
+  static final double RENEWAL_LIMIT_S = 20;
+
+  /** Seconds after a cancellation in which grants may be issued under an unfenced term. */
+  static final double GRANT_LIMIT_S = 4;
+
   private SchedulerFixture() {}
 
   private static final java.util.WeakHashMap<Scheduler, List<Action>> PENDING_ACTIONS =
@@ -52,6 +58,7 @@
             initialTargets,
             targetWaits,
             Map.of(),
+            new Policy.LaunchFenceLimits(RENEWAL_LIMIT_S, GRANT_LIMIT_S),
             new Policy.Tuning(500, 3, 3, 30, 1, true, false));
     Scheduler scheduler = new Scheduler(policy, term, "process", new SplittableRandom(1), 0);
     scheduler.onMachineTypes(
--- a/src/test/java/graderelay/scenario/RandomDayTest.java
+++ b/src/test/java/graderelay/scenario/RandomDayTest.java
@@ -5,6 +5,7 @@
 import graderelay.sim.Fault;
 import graderelay.sim.RandomDay;
 import graderelay.sim.RandomDay.Verdict;
+import graderelay.sim.Seeds;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BiFunction;
@@ -21,10 +22,7 @@
 
   /** The property {@code seed} plays one day, {@code seeds} says how many. */
   static LongStream seeds() {
-    Long one = Long.getLong("seed");
-    return one != null
-        ? LongStream.of(one)
-        : LongStream.rangeClosed(1, Long.getLong("seeds", SEEDS));
+    return Seeds.upTo(SEEDS);
   }
 
   @ParameterizedTest
--- a/src/test/java/graderelay/sim/ProductionVersion.java
+++ b/src/test/java/graderelay/sim/ProductionVersion.java
@@ -109,7 +109,9 @@
     if (!(value instanceof ObjectNode record)) {
       return;
     }
-    if (key.startsWith(StateCodec.JOBS)) {
+    if (key.equals(StateCodec.TERM)) {
+      record.remove("first");
+    } else if (key.startsWith(StateCodec.JOBS)) {
       record.remove("needs");
     } else if (key.startsWith(StateCodec.FINAL_STATES)) {
       record.remove("at");
--- a/src/test/java/graderelay/wire/ProductionFormatsTest.java
+++ b/src/test/java/graderelay/wire/ProductionFormatsTest.java
@@ -180,7 +180,8 @@
     assertSameBytesAsStored(
         "g/owner",
         StateCodec.encodeLeader(new StateCodec.LeaderRecord("m-1", 41, "10.0.0.2:8081")));
-    assertSameBytesAsStored("g/term", StateCodec.encodeTerm(41, "m-1"));
+    assertSameBytesAsStored(
+        "g/term", StateCodec.encodeTerm(new StateCodec.TermRecord(41, 41, "m-1")));
     assertSameBytesAsStored("g/bar/m-2", StateCodec.encodeSuspension(""));
     assertSameBytesAsStored("g/bar/m-0", StateCodec.encodeSuspension("3fe0a1"));
     assertSameBytesAsStored(
--- a/src/test/java/graderelay/wire/StateCodecTest.java
+++ b/src/test/java/graderelay/wire/StateCodecTest.java
@@ -21,10 +21,19 @@
 
   @Test
   void termRoundTrips() {
-    JsonNode written = StateCodec.encodeTerm(41, "m-1");
+    TermRecord single = new TermRecord(41, 41, "m-1");
+    JsonNode written = StateCodec.encodeTerm(single);
     assertThat(text(written)).isEqualTo("{\"term\":41,\"member\":\"m-1\"}");
-    assertThat(StateCodec.decodeTerm(written)).isEqualTo(new TermRecord(41, "m-1"));
-    assertThat(StateCodec.decodeTerm(json("{}"))).isEqualTo(new TermRecord(0, ""));
+    assertThat(StateCodec.decodeTerm(written)).isEqualTo(single);
+    assertThat(StateCodec.decodeTerm(json("{}"))).isEqualTo(new TermRecord(0, 0, ""));
+  }
+
+  @Test
+  void reservedTermsRoundTrip() {
+    TermRecord reserved = new TermRecord(41, 140, "m-1");
+    JsonNode written = StateCodec.encodeTerm(reserved);
+    assertThat(text(written)).isEqualTo("{\"term\":140,\"member\":\"m-1\",\"first\":41}");
+    assertThat(StateCodec.decodeTerm(written)).isEqualTo(reserved);
   }
 
   @Test
