--- a/src/main/java/graderelay/wire/PeerRequest.java
+++ b/src/main/java/graderelay/wire/PeerRequest.java
@@ -5,6 +5,7 @@
   /**
    * Requests a pledge not to stand for election, while the leader cannot renew its session lease.
    *
+   * @param term the last term that the leader has reserved, as the term record has it
    * @param seconds duration of the pledge
    */
   record Pledge(String member, long term, double seconds) implements PeerRequest {}
@@ -21,6 +22,7 @@
    * Sent by the leader to check a peer's health and to lend it write capacity until the next
    * request.
    *
+   * @param term the last term that the leader has reserved, as the term record has it
    * @param changesPerS the peer's rate of changes to the key-value store, including the lent part
    */
   record LendWriteCapacity(String member, long term, double changesPerS) implements PeerRequest {}
@@ -28,6 +30,7 @@
   /**
    * Hands leadership over to a peer after the leader has stopped.
    *
+   * @param term the last term that the former leader has reserved, as the term record has it
    * @param sessionLease the former leader's session lease, which the peer may revoke
    */
   record Handover(String member, long term, long sessionLease) implements PeerRequest {}
