--- a/src/main/java/graderelay/core/LaunchFencing.java
+++ b/src/main/java/graderelay/core/LaunchFencing.java
@@ -7,11 +7,11 @@
  * workers that have seen the new term refuse a launch with the old one, however late it arrives.
  *
  * <p>A worker executes a late launch as long as its session goes on and it has seen no higher term.
- * So a launch of a cancelled job must not be outlived by leases that are renewed under its term:
- * unless the term is raised, they are not renewed, nor may lease delegates be allowed to renew
- * them, once they might otherwise be valid at the cancellation deadline. The cancellation was
- * confirmed after the claim was sent, since the claim would have failed otherwise; so the time of
- * the claim is the earliest time from which the deadline can count.
+ * If the job of the launch was cancelled, the worker's lease must therefore not be renewed under
+ * that term for longer than the cancellation deadline allows: unless the term is raised in time,
+ * the lease is not renewed, and no lease delegate is allowed to renew it. The deadline is counted
+ * from the time at which the claim was sent, since the claim would have failed if the cancellation
+ * had been confirmed before.
  */
 final class LaunchFencing {
   /** Seconds that an unacknowledged launch may block a stop before the term is raised. */
