Starting controllers renew leases whatever cancellations a peer tells them of

Processes that began within an outage know no reserved term, and learn of such a job from a peer that had read the records; so leases ended that were renewed before, in the time that startupRenewalS leaves for it.

Change: in that time they renew under the worker's own term, as before; whoever renewed before them is held to that much less.

--- a/src/main/java/graderelay/state/Cancellations.java
+++ b/src/main/java/graderelay/state/Cancellations.java
@@ -131,7 +131,15 @@
    */
   public boolean mayRenewLeases() {
     double now = loop.now();
-    return now <= completeAsOf() + maxStalenessS || now <= startedAt + startupRenewalS;
+    return now <= completeAsOf() + maxStalenessS || isInStartupRenewal();
+  }
+
+  /**
+   * True while this process may renew worker leases because it has just started, whatever
+   * cancellations there are; those who renewed them before left time for that.
+   */
+  public boolean isInStartupRenewal() {
+    return loop.now() <= startedAt + startupRenewalS;
   }
 
   /** True if the known cancellations are old enough that the peers should be queried. */
--- a/src/main/java/graderelay/state/LeaderlessTerm.java
+++ b/src/main/java/graderelay/state/LeaderlessTerm.java
@@ -29,6 +29,7 @@
     if (reserved.isPresent() && reportedTerm <= reserved.getAsLong()) {
       return reserved;
     }
-    return cancellations.hasUnfinished() ? OptionalLong.empty() : OptionalLong.of(reportedTerm);
+    boolean mayRenewUnfenced = cancellations.isInStartupRenewal() || !cancellations.hasUnfinished();
+    return mayRenewUnfenced ? OptionalLong.of(reportedTerm) : OptionalLong.empty();
   }
 }
--- a/src/test/java/graderelay/worker/LateLaunchTest.java
+++ b/src/test/java/graderelay/worker/LateLaunchTest.java
@@ -64,6 +64,30 @@
     fine(world);
   }
 
+  /**
+   * Processes that began within the outage know no reserved terms, but may learn of a cancelled job
+   * from a peer that read the records; they renew leases all the same while they start.
+   */
+  @Test
+  void startingControllersRenewLeasesAlthoughAPeerKnowsOfUnfinishedCancelledJob() {
+    HeldLaunch launch = new HeldLaunch(67, 3, "a");
+    SimWorld world = launch.world;
+    launch.cancelAfter(0.5);
+    world.crashAll();
+    world.loop.run(5);
+    world.net.cut("c" + launch.leader, launch.machine);
+    world.start(launch.leader);
+    world.loop.run(0.15);
+    world.store.outage(true);
+    world.start((launch.leader + 1) % 3);
+    world.start((launch.leader + 2) % 3);
+    world.loop.run(9);
+    launch.otherTaskWasNotInterrupted();
+    world.net.heal("c" + launch.leader, launch.machine);
+    launch.storeReturns();
+    fine(world);
+  }
+
   /** Terms that a leader used without the store are lower than those of later leaders. */
   @Test
   void newLeaderCommandsWorkersThatSawTermsRaisedDuringOutage() {
