--- a/src/test/java/graderelay/worker/LateLaunchTest.java
+++ b/src/test/java/graderelay/worker/LateLaunchTest.java
@@ -69,7 +69,7 @@
    * from a peer that read the records; they renew leases all the same while they start.
    */
   @Test
-  void startingControllersRenewLeasesAlthoughAPeerKnowsOfUnfinishedCancelledJob() {
+  void startingControllersRenewLeasesAlthoughPeerKnowsOfCancelledJob() {
     HeldLaunch launch = new HeldLaunch(67, 3, "a");
     SimWorld world = launch.world;
     launch.cancelAfter(0.5);
