Check the term record that elections write against production's bytes

TermRecord has the first and the last reserved term now, so the old calls no longer compile. New here: the record with reserved terms equals production's bytes but for the added field first, and production's record decodes to a single term.

--- a/src/test/java/graderelay/wire/ProductionFormatsTest.java
+++ b/src/test/java/graderelay/wire/ProductionFormatsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import graderelay.config.OperatorSettings;
 import graderelay.core.Action;
 import graderelay.core.JobKind;
@@ -175,6 +176,15 @@
     assertThat(demand.get(0).arrivals().get(1)).containsExactly(61.25, 12);
   }
 
+  @Test
+  void reservedTermsDifferFromProductionBytesByOneAddedFieldOnly() {
+    ObjectNode written = StateCodec.encodeTerm(new StateCodec.TermRecord(2, 41, "m-1"));
+    assertThat(written.remove("first").asLong()).isEqualTo(2);
+    assertSameBytesAsStored("g/term", written);
+    assertThat(StateCodec.decodeTerm(ProductionFormats.record("g/term")))
+        .isEqualTo(new StateCodec.TermRecord(41, 41, "m-1"));
+  }
+
   @Test
   void recordsReadableByProductionVersionAreWrittenWithIdenticalBytes() {
     assertSameBytesAsStored(
