--- a/src/main/java/graderelay/core/Action.java
+++ b/src/main/java/graderelay/core/Action.java
@@ -104,4 +104,7 @@
 
   /** Writes a line to the log. */
   record LogLine(String text) implements Action {}
+
+  /** Writes a warning to the log. */
+  record Warning(String text) implements Action {}
 }
--- a/src/main/java/graderelay/core/ClusterState.java
+++ b/src/main/java/graderelay/core/ClusterState.java
@@ -74,6 +74,9 @@
   /** Known machines by name. */
   final Map<String, Machine> machines = new LinkedHashMap<>();
 
+  /** Attempts whose claims have ended lately. */
+  final EndedAttempts endedAttempts = new EndedAttempts();
+
   /** Machine types that the cloud offers, by name. */
   Map<String, MachineType> machineTypes = Map.of();
 
@@ -123,6 +126,11 @@
     machines.values().forEach(machine -> machine.imagesChanged = !machine.images.isEmpty());
   }
 
+  /** Adds a warning to the log. */
+  void warn(String text) {
+    actions.add(new Action.Warning(text));
+  }
+
   /** Adds a line to the log. */
   void log(String text) {
     actions.add(new Action.LogLine(text));
--- a/src/main/java/graderelay/core/HeartbeatCommandSelector.java
+++ b/src/main/java/graderelay/core/HeartbeatCommandSelector.java
@@ -24,7 +24,7 @@
       return commands;
     }
     for (Heartbeat.TaskStatus status : heartbeat.tasks()) {
-      addForListed(machine, status, commands, now);
+      addForListed(machine, heartbeat, status, commands, now);
     }
     for (Claim claim : machine.claims.values()) {
       addLaunch(machine, claim, heartbeat, commands, now);
@@ -33,8 +33,12 @@
   }
 
   /** Adds a kill or reap of an attempt that the heartbeat lists, if one is due. */
-  private static void addForListed(
-      Machine machine, Heartbeat.TaskStatus status, List<WorkerCommand> commands, double now) {
+  private void addForListed(
+      Machine machine,
+      Heartbeat heartbeat,
+      Heartbeat.TaskStatus status,
+      List<WorkerCommand> commands,
+      double now) {
     Claim claim = machine.claims.get(status.task());
     boolean exited = status.stage() == Heartbeat.Stage.EXITED;
     boolean matchesClaim =
@@ -45,9 +49,21 @@
         commands.add(kill);
       }
     } else if (!exited) {
+      reportUnclaimed(machine, heartbeat, AttemptKey.of(status), now);
       commands.add(new WorkerCommand.Kill(status.task(), status.attempt(), 0));
     } else if (!machine.unreapableAttempts.contains(AttemptKey.of(status))) {
       commands.add(new WorkerCommand.Reap(status.task(), status.attempt()));
+      cluster.endedAttempts.onReaped(machine, AttemptKey.of(status), now);
+    }
+  }
+
+  /** Reports an attempt that runs without a claim, which no launch should have started. */
+  private void reportUnclaimed(
+      Machine machine, Heartbeat heartbeat, AttemptKey attempt, double now) {
+    String warning = cluster.endedAttempts.describeUnclaimed(machine, attempt, heartbeat, now);
+    if (warning != null) {
+      cluster.warn(warning);
+      cluster.actions.add(new Action.MetricEvent("unclaimed", -1));
     }
   }
 
--- a/src/main/java/graderelay/core/StoredRecords.java
+++ b/src/main/java/graderelay/core/StoredRecords.java
@@ -162,6 +162,7 @@
     }
     claim.phase = Claim.Phase.ENDING;
     claim.taskDone = taskDone;
+    cluster.endedAttempts.onClaimEnded(claim, now);
     endingClaims.add(claim);
     cluster.possiblyEndedJobs.add(claim.job);
     cluster.roundNeeded = true;
--- a/src/main/java/graderelay/core/TaskLauncher.java
+++ b/src/main/java/graderelay/core/TaskLauncher.java
@@ -86,6 +86,8 @@
             + machine.name
             + " with term "
             + cluster.term
+            + ", session "
+            + machine.session
             + (machine.hasImage(claim.job.spec.image()) ? "" : ", image to be fetched"));
     cluster.actions.add(new Action.MetricEvent("started", now - claim.job.waitingSince));
     claim.launchState = Claim.LaunchState.DIRECT;
--- a/src/main/java/graderelay/service/ControllerComponents.java
+++ b/src/main/java/graderelay/service/ControllerComponents.java
@@ -57,6 +57,7 @@
   private final RequestHedger requestHedger;
   private final StoredOperatorSettings operatorSettings;
   private final TeamLimits teamLimits;
+  private final LeaderChangeLog leaderChangeLog = new LeaderChangeLog();
 
   /**
    * Creates all components of a controller.
@@ -278,6 +279,7 @@
   }
 
   private void onLeaderRecordChanged() {
+    leaderChangeLog.onElectionChanged(cache);
     featureLevelManager.checkRecords();
     leadership.reconcile();
   }
--- a/src/main/java/graderelay/service/LeaderActionExecutor.java
+++ b/src/main/java/graderelay/service/LeaderActionExecutor.java
@@ -65,6 +65,8 @@
   private void execute(Action action) {
     if (action instanceof Action.LogLine logLine) {
       LOG.info("{}", logLine.text());
+    } else if (action instanceof Action.Warning warning) {
+      LOG.warn("{}", warning.text());
     } else if (action instanceof Action.MetricEvent event) {
       recordTaskEvent(event);
     } else if (action instanceof Action.AccountDiscrepancyFound discrepancyFound) {
--- a/src/main/java/graderelay/service/LeaderTerm.java
+++ b/src/main/java/graderelay/service/LeaderTerm.java
@@ -21,6 +21,8 @@
 import java.util.Optional;
 import java.util.function.DoubleConsumer;
 import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * One term of this controller's leadership. Passes heartbeats, the cloud's list of machines and,
@@ -29,6 +31,8 @@
  * been elected and its cache has caught up; closed when leadership is lost.
  */
 final class LeaderTerm {
+  private static final Logger LOG = LoggerFactory.getLogger("fleet");
+
   private final Loop loop;
   private final CloudClient cloudClient;
   private final Leadership leadership;
@@ -204,6 +208,14 @@
     if (accepted) {
       core.onHeartbeatResponse(heartbeat.machine(), now);
     }
+    LOG.debug(
+        "answering heartbeat {} of {}, session {}, reported term {}, under term {}: {}",
+        heartbeat.seq(),
+        heartbeat.machine(),
+        heartbeat.session(),
+        heartbeat.term(),
+        leadership.term(),
+        commands);
     return Optional.of(commands);
   }
 
--- a/src/main/java/graderelay/service/WorkerCommandSender.java
+++ b/src/main/java/graderelay/service/WorkerCommandSender.java
@@ -41,7 +41,7 @@
       core.onCommandDelivery(command, CommandDeliveryOutcome.NEVER_LEFT, null, loop.now());
       return;
     }
-    LOG.debug("sending commands to {}: {}", command.machine(), command.commands());
+    LOG.debug("sending {}", command);
     workerClient.send(
         command,
         (outcome, heartbeat) ->
--- a/src/main/java/graderelay/state/LeaderTenure.java
+++ b/src/main/java/graderelay/state/LeaderTenure.java
@@ -57,7 +57,11 @@
   void start(WonElection won) {
     status.startLeading(won);
     stateClient.budget().setLeader(true);
-    LOG.info("{} is the leader in term {}", member, won.term());
+    LOG.info(
+        "{} is the leader in term {}, terms up to {} are reserved",
+        member,
+        won.term(),
+        won.terms().lastTerm());
     renewal.start(won.leaseRequestedAt());
     peerMonitor.start();
     listener.onStartedLeading(won.term());
