--- a/src/test/java/graderelay/sim/SimNet.java
+++ b/src/test/java/graderelay/sim/SimNet.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 /**
@@ -48,16 +49,23 @@
 
   public double copyDelayS;
 
+  /** Copies of requests of every kind that were carried out and answered. */
+  public final RequestCopies requestCopies;
+
   /** Times the usual time that a message takes. */
   public double slow = 1;
 
   /** Chance that an answer is lost although the request was carried out. */
   public double loseAnswers;
 
+  /** Paths of requests whose answers are all lost although the requests were carried out. */
+  public Predicate<String> losesAnswersTo = path -> false;
+
   /** Creates a network without hosts, whose delays are drawn from {@code random}. */
   public SimNet(SimLoop loop, RandomGenerator random) {
     this.loop = loop;
     this.random = random;
+    this.requestCopies = new RequestCopies(loop, random, this::deliverCopy);
   }
 
   /** Serves an address of a host with a handler. */
@@ -188,6 +196,15 @@
     }
   }
 
+  /** A copy arrives at whoever listens at the address now. */
+  private void deliverCopy(RequestCopies.Request copy) {
+    Exchange.Handler handler = hosts.get(copy.address());
+    if (handler != null && !down.contains(hostOf.get(copy.address()))) {
+      handler.handle(
+          new Exchange(copy.method(), copy.path(), copy.query(), copy.body(), answer -> {}));
+    }
+  }
+
   /** What has arrived may arrive once more, long after; nobody waits for that answer. */
   private void copy(String address, String method, String path, String query, byte[] body) {
     if (path.equals("/checkin") && kept != null) {
@@ -249,7 +266,9 @@
                     q,
                     sent,
                     (Response a) -> {
-                      if (random.nextDouble() < loseAnswers) {
+                      requestCopies.onAnswered(
+                          new RequestCopies.Request(address, method, p, q, sent), a.status());
+                      if (losesAnswersTo.test(p) || random.nextDouble() < loseAnswers) {
                         return;
                       }
                       pass(to, host, () -> once.accept(new Reply(a.status(), a.body(), true)));
--- a/src/test/java/graderelay/sim/SimTasks.java
+++ b/src/test/java/graderelay/sim/SimTasks.java
@@ -56,13 +56,12 @@
     }
     Attempt attempt = new Attempt(id, number);
     attempts.put(key(id, number), attempt);
-    for (Attempt other : attempts.values()) {
-      if (other != attempt && other.id.equals(id) && !other.exited()) {
-        attempt.stage = "exited";
-        attempt.cause = "busy";
-        worker.changed();
-        return;
-      }
+    String refusal = refusalOf(attempt);
+    if (refusal != null) {
+      attempt.stage = "exited";
+      attempt.cause = refusal;
+      worker.changed();
+      return;
     }
     if (hasImage) {
       begin(attempt);
@@ -72,6 +71,21 @@
     }
   }
 
+  /** Why a launch of the attempt is refused, or null. */
+  private String refusalOf(Attempt attempt) {
+    for (Attempt other : attempts.values()) {
+      if (other != attempt && other.id.equals(attempt.id) && !other.exited()) {
+        return "busy";
+      }
+    }
+    return worker.refusal;
+  }
+
+  /** True if the worker lists the attempt, in any state. */
+  boolean lists(String id, int number) {
+    return attempts.containsKey(key(id, number));
+  }
+
   /** Stops an attempt, if it has not exited. */
   void stop(String id, int number) {
     Attempt attempt = attempts.get(key(id, number));
--- a/src/test/java/graderelay/sim/SimWorker.java
+++ b/src/test/java/graderelay/sim/SimWorker.java
@@ -32,6 +32,9 @@
   private double lastSent = Double.NEGATIVE_INFINITY;
   public boolean failsEverything;
 
+  /** Why it refuses every launch, or null. */
+  public String refusal;
+
   /** Until then it executes nothing and takes nothing in; its lease goes on running out. */
   double hungUntil = Double.NEGATIVE_INFINITY;
 
@@ -220,6 +223,11 @@
     }
   }
 
+  /** True if it lists the attempt, in any state. */
+  public boolean lists(String task, int attempt) {
+    return tasks.lists(task, attempt);
+  }
+
   /** Returns the tasks that run now, in the order of their launch. */
   public List<String> running() {
     return tasks.running();
