--- a/src/test/java/graderelay/sim/RandomDay.java
+++ b/src/test/java/graderelay/sim/RandomDay.java
@@ -35,6 +35,9 @@
   /** What came of a day: the rules that it broke, and what happened last. */
   public record Verdict(List<String> violations, List<String> trace) {}
 
+  /** The share of requests of which late copies arrive, on every second day. */
+  private static final double COPIED_SHARE = 0.1;
+
   private final SimWorld world;
   private final SplittableRandom random;
   private final List<SimJob> all = new ArrayList<>();
@@ -48,6 +51,9 @@
   private RandomDay(SimWorld world, long seed, boolean rollsOut) {
     this.world = world;
     this.random = new SplittableRandom(seed * 31 + 7);
+    if (seed % 2 == 0) {
+      world.net.requestCopies.draw(COPIED_SHARE, DAY_S);
+    }
     this.rollout = rollsOut ? new Rollout(world, new SplittableRandom(seed * 17 + 3)) : null;
   }
 
--- a/src/test/java/graderelay/sim/RequestCopies.java
+++ b/src/test/java/graderelay/sim/RequestCopies.java
@@ -65,9 +65,11 @@
     longestDelayS = newLongestDelayS;
   }
 
-  /** A request was carried out and answered. */
+  /** A request was carried out and answered. Operators' writes are not copied. */
   void onAnswered(Request request, int status) {
-    if (status < FIRST_SUCCESS || status > LAST_SUCCESS || request.method().equals("GET")) {
+    boolean succeeded = status >= FIRST_SUCCESS && status <= LAST_SUCCESS;
+    boolean changesNothing = request.method().equals("GET");
+    if (!succeeded || changesNothing || request.path().startsWith("/admin")) {
       return;
     }
     if (mustKeep.test(request)) {
--- a/src/test/java/graderelay/sim/SimTasks.java
+++ b/src/test/java/graderelay/sim/SimTasks.java
@@ -21,6 +21,10 @@
     final int number;
     String stage = "pulling";
     String cause = "";
+
+    /** The highest term of the direct commands that launched it, or 0 if none did. */
+    long directTerm;
+
     Loop.Timer timer;
 
     Attempt(String id, int number) {
@@ -49,12 +53,19 @@
     return id + "#" + attempt;
   }
 
-  /** Launches an attempt, unless it is known; it exits at once if its task is here already. */
-  void launch(String id, int number) {
-    if (attempts.containsKey(key(id, number))) {
+  /**
+   * Launches an attempt, unless it is known; it exits at once if its task is here already.
+   *
+   * @param directTerm the term of direct commands, or 0 for those of a heartbeat's response
+   */
+  void launch(String id, int number, long directTerm) {
+    Attempt known = attempts.get(key(id, number));
+    if (known != null) {
+      known.directTerm = Math.max(known.directTerm, directTerm);
       return;
     }
     Attempt attempt = new Attempt(id, number);
+    attempt.directTerm = directTerm;
     attempts.put(key(id, number), attempt);
     String refusal = refusalOf(attempt);
     if (refusal != null) {
@@ -86,6 +97,11 @@
     return attempts.containsKey(key(id, number));
   }
 
+  /** Number of attempts that have exited and are still listed. */
+  int exitedCount() {
+    return (int) attempts.values().stream().filter(Attempt::exited).count();
+  }
+
   /** Stops an attempt, if it has not exited. */
   void stop(String id, int number) {
     Attempt attempt = attempts.get(key(id, number));
@@ -94,12 +110,20 @@
     }
   }
 
-  /** Forgets an attempt that has exited. */
-  void forget(String id, int number) {
+  /**
+   * Forgets an attempt that has exited. A late copy of a direct launch would start it again, unless
+   * the worker has seen a higher term than the launch's.
+   */
+  void forget(String id, int number, long highestTerm) {
     Attempt attempt = attempts.get(key(id, number));
-    if (attempt != null && attempt.exited()) {
-      attempts.remove(key(id, number));
+    if (attempt == null || !attempt.exited()) {
+      return;
+    }
+    if (attempt.directTerm >= highestTerm) {
+      world.invariants.breaks("unfenced reap of " + key(id, number) + " on " + worker.name);
     }
+    attempts.remove(key(id, number));
+    worker.changed();
   }
 
   /** Ends everything at once, as the machine goes or its lease is over. */
--- a/src/test/java/graderelay/sim/SimWorker.java
+++ b/src/test/java/graderelay/sim/SimWorker.java
@@ -135,11 +135,13 @@
     lastSent = sentAt;
     long of = session;
     String to = controllers[controller];
+    byte[] heartbeat = Json.write(body());
+    world.onHeartbeat.onSent(heartbeat.length, tasks.exitedCount(), token);
     transport.call(
         to,
         "POST",
         "/checkin",
-        Json.write(body()),
+        heartbeat,
         4,
         r -> {
           awaitsAnswer = false;
@@ -162,7 +164,7 @@
       }
       see(t);
       leaseFrom = Math.max(leaseFrom, sentAt);
-      execute(n.path("orders"));
+      execute(n.path("orders"), 0);
       return;
     }
     int next = (controller + 1) % controllers.length;
@@ -207,18 +209,18 @@
       return;
     }
     see(n.get("foreman").asLong());
-    execute(n.path("orders"));
+    execute(n.path("orders"), token);
     e.responder().accept(Response.json(200, Json.write(body())));
   }
 
-  private void execute(JsonNode orders) {
+  private void execute(JsonNode orders, long directTerm) {
     for (JsonNode o : orders) {
       String id = o.path("board").asText();
       int attempt = o.path("pass").asInt();
       switch (o.path("order").asText()) {
-        case "launch" -> tasks.launch(id, attempt);
+        case "launch" -> tasks.launch(id, attempt, directTerm);
         case "kill" -> tasks.stop(id, attempt);
-        default -> tasks.forget(id, attempt);
+        default -> tasks.forget(id, attempt, token);
       }
     }
   }
--- a/src/test/java/graderelay/sim/SimWorld.java
+++ b/src/test/java/graderelay/sim/SimWorld.java
@@ -33,6 +33,15 @@
   /** Limits that stay as they are. */
   public static final Settings.StoreLimits SAME = new Settings.StoreLimits(300, 16, TXN_OPS);
 
+  /** Hears of each heartbeat that a worker sends. */
+  public interface HeartbeatObserver {
+    /** A worker that has seen this term sends a heartbeat. */
+    void onSent(int bytes, int exitedAttempts, long term);
+  }
+
+  /** Hears of each heartbeat that a worker sends. */
+  public HeartbeatObserver onHeartbeat = (bytes, exitedAttempts, term) -> {};
+
   private record Lost(ControllerNode process, ProcessSuspension suspension) {}
 
   public final WorldShape shape;
--- a/src/test/java/graderelay/worker/LateLaunchSearchTest.java
+++ b/src/test/java/graderelay/worker/LateLaunchSearchTest.java
@@ -26,6 +26,11 @@
 
   private static final double RECOVERY_S = 60;
 
+  /** The share of requests of which late copies arrive, in every second schedule. */
+  private static final double COPIED_SHARE = 0.3;
+
+  private static final double LONGEST_COPY_DELAY_S = 120;
+
   /** The property {@code seed} plays one schedule, {@code seeds} says how many. */
   static LongStream seeds() {
     return Seeds.upTo(SEEDS);
@@ -59,6 +64,9 @@
               .fleet(8, zones ? List.of("a", "b") : List.of("a"))
               .workers(longLease ? 4 : 2, longLease ? 20 : 12);
       world = new SimWorld(seed, shape);
+      if (seed % 2 == 0) {
+        world.net.requestCopies.draw(COPIED_SHARE, LONGEST_COPY_DELAY_S);
+      }
       world.loop.run(3);
       launch = new HeldLaunch(world);
     }
