Forget a leader record that was deleted before a repeated first load of the records

What callers saw: no leader for as long as the controllers ran, after all of them had started within an outage: jobs were accepted and never begun.

Cause, as a class: an action on stale knowledge. The leader record is read first, so that a starting controller can take part in elections while it reads the rest. If that load fails later on, it is repeated, and the first load kept the leader record of the failed one, since a record that was written meanwhile must stay. A record that was deleted between the two was in no listing and in no change read afterwards, so the controller took a leader that had ended for one that leads, for good.

Fix: before the listings are applied, a leader record that is not newer than the revision from which they were read is forgotten: if it still stands, it is listed. A newer one stays, as before.

Evidence: CacheReloadTest.leaderRecordDeletedBeforeRepeatedFirstLoadIsForgotten failed before and passes; the case that the old rule guards (a record written during the load) has a test that passes before and after.

--- a/src/main/java/graderelay/state/ElectionRecords.java
+++ b/src/main/java/graderelay/state/ElectionRecords.java
@@ -143,10 +143,12 @@
    * Clears what is about to be read again.
    *
    * @param reload true if all records were read before, so that the leader record is cleared too
+   * @param listedRevision the revision from which the records are read; a leader record that is not
+   *     newer is among them, or was deleted
    */
-  void clear(boolean reload) {
+  void clear(boolean reload, long listedRevision) {
     for (Layout layout : new Layout[] {unsealed, sealed}) {
-      if (reload) {
+      if (reload || layout.leaderRevision <= listedRevision) {
         layout.clearLeader();
       }
       layout.suspensions.clear();
--- a/src/main/java/graderelay/state/RecordTables.java
+++ b/src/main/java/graderelay/state/RecordTables.java
@@ -88,12 +88,12 @@
    * @param isReload true if all records have been loaded before
    */
   void replaceAll(List<Listing> listings, boolean isReload) {
+    revision = listings.get(0).revision();
     jobs.clear();
-    election.clear(isReload);
+    election.clear(isReload, revision);
     features.clear();
     quota.clear();
     hints.clearCompactHints();
-    revision = listings.get(0).revision();
     listings.forEach(this::putAll);
   }
 
--- a/src/test/java/graderelay/sim/SimStore.java
+++ b/src/test/java/graderelay/sim/SimStore.java
@@ -130,6 +130,14 @@
     watches.wake();
   }
 
+  /** Somebody deletes a record by hand. */
+  public void delete(String key) {
+    revision++;
+    items.remove(key);
+    watches.changed(key, null, revision);
+    watches.wake();
+  }
+
   /** Handler for one controller, which may be refused alone. */
   public Exchange.Handler forNode(boolean[] refused) {
     return e -> {
--- a/src/test/java/graderelay/state/CacheReloadTest.java
+++ b/src/test/java/graderelay/state/CacheReloadTest.java
@@ -32,6 +32,9 @@
   /** Matches the paths whose responses are held back. */
   private Predicate<String> heldPaths = NO_PATHS;
 
+  /** Matches the paths of requests that the store refuses. */
+  private Predicate<String> refusedPaths = NO_PATHS;
+
   private final Cache cache = newCache();
 
   private Cache newCache() {
@@ -53,6 +56,10 @@
       byte[] body,
       double timeoutS,
       Consumer<Reply> done) {
+    if (refusedPaths.test(path)) {
+      loop.after(0.001, () -> done.accept(new Reply(503, new byte[0], true)));
+      return;
+    }
     String[] pathAndQuery = path.split("\\?", 2);
     String query = pathAndQuery.length > 1 ? pathAndQuery[1] : "";
     Consumer<Exchange.Response> deliverAnswer =
@@ -122,6 +129,38 @@
     assertThat(cache.job("j-000002")).isNotNull();
   }
 
+  @Test
+  void leaderRecordDeletedBeforeRepeatedFirstLoadIsForgotten() {
+    store.overwrite(
+        StateCodec.LEADER, StateCodec.encodeLeader(new StateCodec.LeaderRecord("m-1", 1, "")));
+    refusedPaths = path -> path.contains("slice");
+    cache.start();
+    loop.run(1);
+    assertThat(cache.leader()).isNotNull();
+    store.delete(StateCodec.LEADER);
+    refusedPaths = NO_PATHS;
+    loop.run(10);
+    assertThat(cache.isLoaded()).isTrue();
+    assertThat(cache.leader()).isNull();
+  }
+
+  @Test
+  void leaderRecordWrittenDuringFirstLoadIsKept() {
+    heldPaths = path -> path.contains("slice");
+    cache.start();
+    loop.run(1);
+    final Runnable lastLoadAnswer = heldAnswers.remove();
+    store.overwrite(
+        StateCodec.LEADER, StateCodec.encodeLeader(new StateCodec.LeaderRecord("m-1", 1, "")));
+    catchUp();
+    assertThat(cache.leader()).isNotNull();
+    heldPaths = NO_PATHS;
+    lastLoadAnswer.run();
+    assertThat(cache.leader()).isNotNull();
+    loop.run(2);
+    assertThat(cache.leader()).isNotNull();
+  }
+
   private static final class IgnoringListener implements RecordListener {
     @Override
     public void onJobChanged(JobEntry job) {}
