--- a/src/main/java/graderelay/core/CommandDeliveryHandler.java
+++ b/src/main/java/graderelay/core/CommandDeliveryHandler.java
@@ -2,7 +2,7 @@
 
 /**
  * Handles the outcomes of commands that were sent directly to workers. An executed launch is
- * confirmed, a launch that cannot arrive any more is reset, and a launch without a response stays
+ * confirmed, a launch that can never be executed is reset, and a launch without a response stays
  * unacknowledged until a heartbeat lists the attempt or a higher term fences the launch.
  */
 final class CommandDeliveryHandler {
--- a/src/main/java/graderelay/core/LaunchFencing.java
+++ b/src/main/java/graderelay/core/LaunchFencing.java
@@ -3,8 +3,12 @@
 import java.util.Locale;
 
 /**
- * Fences unacknowledged launches that block the stop of an attempt. The leader raises its term;
- * workers that have seen the new term refuse a launch with the old one, however late it arrives.
+ * Fences direct launches: a worker that has seen a higher term than a launch's refuses it, however
+ * late it arrives, and also its copies. Launches are fenced that block the stop of their attempt,
+ * and those of attempts that have exited, before the worker is told to forget the attempt.
+ *
+ * <p>The leader raises its own term first. A machine's commands and responses take it over when
+ * something has to be fenced there, so that the raise concerns no other worker.
  *
  * <p>A worker executes a late launch as long as its session goes on and it has seen no higher term.
  * If the job of the launch was cancelled, the worker's lease must therefore not be renewed under
@@ -119,9 +123,8 @@
   }
 
   private boolean blocksStop(Claim claim, double now) {
-    return claim.phase == Claim.Phase.COMMITTED
+    return mayStartDespiteStop(claim)
         && claim.launchState == Claim.LaunchState.UNACKNOWLEDGED
-        && (claim.job.cancelRequested || claim.stopRequested)
         && now - claim.launchedAt > MAX_BLOCKED_STOP_S
         && claim.launchTerm == cluster.term;
   }
