--- a/src/test/java/graderelay/core/ReapFencingTest.java
+++ b/src/test/java/graderelay/core/ReapFencingTest.java
@@ -62,7 +62,7 @@
   }
 
   private static Heartbeat.TaskStatus exited(String task) {
-    return new Heartbeat.TaskStatus(task, 1, Heartbeat.Stage.EXITED, "error", false);
+    return new Heartbeat.TaskStatus(task, 1, Heartbeat.Stage.EXITED, "done", false);
   }
 
   private static Heartbeat.TaskStatus running(String task) {
