EndedAttempts: report and count an attempt once also if its claim is forgotten

The warning and graderelay_tasks{outcome="unclaimed"} came with each heartbeat for an attempt of which no claim is remembered, against the comment. Found by reading the change once more; log and metric only.

--- a/src/main/java/graderelay/core/EndedAttempts.java
+++ b/src/main/java/graderelay/core/EndedAttempts.java
@@ -16,6 +16,9 @@
   private record MachineAttempt(String machine, AttemptKey attempt) {}
 
   private static final class Ended {
+    /** False if no claim of the attempt is remembered. */
+    final boolean claimKnown;
+
     final long session;
     final long launchTerm;
     final double endedAt;
@@ -23,10 +26,19 @@
     boolean reported;
 
     Ended(Claim claim, double endedAt) {
+      this.claimKnown = true;
       this.session = claim.session;
       this.launchTerm = claim.launchTerm;
       this.endedAt = endedAt;
     }
+
+    /** An attempt that was listed without any claim that is remembered. */
+    Ended() {
+      this.claimKnown = false;
+      this.session = 0;
+      this.launchTerm = 0;
+      this.endedAt = Double.NaN;
+    }
   }
 
   private final Map<MachineAttempt, Ended> endedAttempts =
@@ -56,13 +68,13 @@
    * has no claim, or null if the same attempt was reported before.
    */
   String describeUnclaimed(Machine machine, AttemptKey attempt, Heartbeat heartbeat, double now) {
-    Ended ended = endedAttempts.get(new MachineAttempt(machine.name, attempt));
-    if (ended != null && ended.reported) {
+    Ended ended =
+        endedAttempts.computeIfAbsent(
+            new MachineAttempt(machine.name, attempt), key -> new Ended());
+    if (ended.reported) {
       return null;
     }
-    if (ended != null) {
-      ended.reported = true;
-    }
+    ended.reported = true;
     return String.format(
         Locale.ROOT,
         "%s lists %s attempt %d without a claim in heartbeat %d of session %d, term %d: %s",
@@ -72,7 +84,7 @@
         heartbeat.seq(),
         heartbeat.session(),
         heartbeat.term(),
-        ended == null ? "no claim of it is remembered" : describe(ended, now));
+        ended.claimKnown ? describe(ended, now) : "no claim of it is remembered");
   }
 
   private static String describe(Ended ended, double now) {
