Fence launches that block a stop in probes and commands too, and record launches where they are sent

The fix of the late copies gave each machine a term of its own that rose in responses to heartbeats only. Probes and kills went out under it, so a launch without an answer on a machine whose heartbeats don't arrive, and which direct messages reach, was no longer fenced by them, as it had been: its stop waited for the lease to run out. Found by reading the change once more.

Now each response, direct command and probe takes over the leader's term first if that fences a launch which blocks a stop (LaunchFencing.fenceBlockedStop). DirectCommandBatch records the direct launches, since it sends them all, and not its caller; an ArchUnit rule keeps direct messages out of other classes. A response asks for a raise only for exited attempts: the raise for a blocked stop stood twice, and the one that came first left its log line out.

--- a/src/main/java/graderelay/core/DirectCommandBatch.java
+++ b/src/main/java/graderelay/core/DirectCommandBatch.java
@@ -29,9 +29,19 @@
     return commands.size() < SchedulerLimits.MAX_COMMANDS_PER_MESSAGE;
   }
 
-  /** Adds a command for the machine; {@link #tryAcquireSlot} must have returned true for it. */
+  /**
+   * Adds a command for the machine, which is sent under the term that the machine has from its
+   * first one on; {@link #tryAcquireSlot} must have returned true for it.
+   */
   void add(Machine machine, WorkerCommand command) {
-    commandsByMachine.computeIfAbsent(machine, m -> new ArrayList<>()).add(command);
+    if (!commandsByMachine.containsKey(machine)) {
+      LaunchFencing.fenceBlockedStop(machine, cluster.term);
+      commandsByMachine.put(machine, new ArrayList<>());
+    }
+    if (command instanceof WorkerCommand.Launch) {
+      machine.directLaunches.onSent(AttemptKey.of(command), machine.commandTerm);
+    }
+    commandsByMachine.get(machine).add(command);
   }
 
   /** Sends one message to each machine. */
--- a/src/main/java/graderelay/core/LaunchFencing.java
+++ b/src/main/java/graderelay/core/LaunchFencing.java
@@ -28,39 +28,44 @@
   private double lastRaiseAt = Double.NEGATIVE_INFINITY;
   private boolean raiseInFlight;
 
-  /** True if a response could not fence a launch, because it already has the leader's term. */
-  private boolean responsesAwaitRaise;
+  /** True if a worker must not forget an exited attempt before the leader's term is raised. */
+  private boolean exitsAwaitRaise;
 
   LaunchFencing(ClusterState cluster) {
     this.cluster = cluster;
   }
 
+  /**
+   * Takes over the leader's term for the next message to the machine if that fences a launch which
+   * blocks a stop. Every response, command and probe passes this.
+   */
+  static void fenceBlockedStop(Machine machine, long leaderTerm) {
+    for (Claim claim : machine.claims.values()) {
+      if (mayStartDespiteStop(claim) && claim.launchTerm == machine.commandTerm) {
+        machine.commandTerm = leaderTerm;
+        return;
+      }
+    }
+  }
+
   /**
    * Raises the term of the response to the machine's heartbeat if the response has to fence a
    * launch: one that blocks a stop, or one whose attempt has exited, so that the worker may forget
    * the attempt. A worker takes a response's term before it executes its commands.
    */
   void fenceBeforeResponse(Machine machine, double now) {
-    if (!hasBlockedStop(machine) && !hasUnfencedExit(machine)) {
+    fenceBlockedStop(machine, cluster.term);
+    if (!hasUnfencedExit(machine)) {
       return;
     }
     if (machine.commandTerm == cluster.term) {
-      responsesAwaitRaise = true;
+      exitsAwaitRaise = true;
       raiseTermIfNeeded(now);
     } else {
       machine.commandTerm = cluster.term;
     }
   }
 
-  private static boolean hasBlockedStop(Machine machine) {
-    for (Claim claim : machine.claims.values()) {
-      if (mayStartDespiteStop(claim) && claim.launchTerm == machine.commandTerm) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   private static boolean mayStartDespiteStop(Claim claim) {
     return claim.phase == Claim.Phase.COMMITTED
         && claim.hasUnresolvedDirectLaunch()
@@ -90,12 +95,12 @@
     return false;
   }
 
-  /** Requests a new term if a response waits for one, or if a launch blocked a stop too long. */
+  /** Requests a new term if exits wait for one, or if a launch has blocked a stop for too long. */
   void raiseTermIfNeeded(double now) {
     if (raiseInFlight || now - lastRaiseAt < MIN_RAISE_INTERVAL_S) {
       return;
     }
-    if (responsesAwaitRaise) {
+    if (exitsAwaitRaise) {
       requestRaise(now);
       return;
     }
@@ -200,7 +205,7 @@
     final boolean isOfNewReservation = newTerm > cluster.term + 1;
     cluster.term = newTerm;
     lastRaiseAt = now;
-    responsesAwaitRaise = false;
+    exitsAwaitRaise = false;
     if (isOfNewReservation) {
       // The leader record names the first term of the reservation, which workers have to show.
       cluster.machines.values().forEach(machine -> machine.commandTerm = newTerm);
--- a/src/main/java/graderelay/core/SilentWorkerProber.java
+++ b/src/main/java/graderelay/core/SilentWorkerProber.java
@@ -77,6 +77,7 @@
       session = Math.max(session, claim.session);
     }
     machine.lastProbeAt = now;
+    LaunchFencing.fenceBlockedStop(machine, cluster.term);
     cluster.actions.add(
         new Action.SendCommands(
             machine.name, machine.address, session, machine.commandTerm, List.of()));
--- a/src/main/java/graderelay/core/TaskLauncher.java
+++ b/src/main/java/graderelay/core/TaskLauncher.java
@@ -77,6 +77,7 @@
   }
 
   private void launch(Machine machine, Claim claim, DirectCommandBatch batch, double now) {
+    batch.add(machine, new WorkerCommand.Launch(claim.taskId(), claim.attempt));
     cluster.log(
         "start "
             + claim.taskId()
@@ -92,8 +93,6 @@
     cluster.actions.add(new Action.MetricEvent("started", now - claim.job.waitingSince));
     claim.launchState = Claim.LaunchState.DIRECT;
     claim.launchTerm = machine.commandTerm;
-    machine.directLaunches.onSent(AttemptKey.of(claim), machine.commandTerm);
     claim.launchedAt = now;
-    batch.add(machine, new WorkerCommand.Launch(claim.taskId(), claim.attempt));
   }
 }
--- a/src/test/java/graderelay/PackageDependenciesTest.java
+++ b/src/test/java/graderelay/PackageDependenciesTest.java
@@ -6,6 +6,7 @@
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
+import graderelay.core.Action;
 import graderelay.core.WorkerCommand;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -87,6 +88,25 @@
         .check(CLASSES);
   }
 
+  /** Every direct message takes a term that fences launches which block a stop. */
+  @Test
+  void directMessagesAreCreatedInTwoPlacesOnly() {
+    noClasses()
+        .that()
+        .doNotHaveFullyQualifiedName("graderelay.core.DirectCommandBatch")
+        .and()
+        .doNotHaveFullyQualifiedName("graderelay.core.SilentWorkerProber")
+        .should()
+        .callConstructor(
+            Action.SendCommands.class,
+            String.class,
+            String.class,
+            long.class,
+            long.class,
+            List.class)
+        .check(CLASSES);
+  }
+
   @Test
   void quotaAndFeaturesDependOnNothingOfOurs() {
     noClasses()
