--- a/review/standins-2/Bench.java
+++ b/review/standins-2/Bench.java
@@ -290,10 +290,14 @@
   // ---------------------------------------------------------------- users
 
   Answer get(int controller, String path, double timeoutS) {
-    return call(controller, "GET", path, null, timeoutS);
+    return call(controller, "GET", path, (byte[]) null, timeoutS);
   }
 
   Answer call(int controller, String method, String path, JsonNode body, double timeoutS) {
+    return call(controller, method, path, body == null ? null : Json.write(body), timeoutS);
+  }
+
+  Answer call(int controller, String method, String path, byte[] body, double timeoutS) {
     try {
       HttpRequest request =
           HttpRequest.newBuilder(URI.create("http://" + apis.get(controller) + path))
@@ -302,7 +306,7 @@
                   method,
                   body == null
                       ? HttpRequest.BodyPublishers.noBody()
-                      : HttpRequest.BodyPublishers.ofByteArray(Json.write(body)))
+                      : HttpRequest.BodyPublishers.ofByteArray(body))
               .build();
       HttpResponse<byte[]> response = HTTP.send(request, HttpResponse.BodyHandlers.ofByteArray());
       JsonNode answer = Json.read(response.body());
