Show which waiting work gets no machine in the fleet plan, and why

Cause: when a job waits and no machine is requested for it, neither the log nor a metric told whether on-demand machines were withheld, whether the cloud had no capacity, or whether the plan counted room elsewhere.

Change: UnmetDemand keeps the waiting tasks for which a plan found no room and requested no machine, by cause: metric graderelay_demand_unmet, and a log line once for a job that is affected for 15 s.

--- a/src/main/java/graderelay/core/FleetPlanner.java
+++ b/src/main/java/graderelay/core/FleetPlanner.java
@@ -18,6 +18,7 @@
   private final TeammateYielding teammateYielding;
   private final DemandHistory demandHistory;
   private final ScaleOutPlanner scaleOutPlanner;
+  private final UnmetDemand unmetDemand;
   private final FleetConsolidation consolidation;
   private final ScaleInPlanner scaleInPlanner;
   private final ImageRecords imageRecords;
@@ -30,6 +31,7 @@
     this.deadlines = new Deadlines(cluster, estimates);
     this.teammateYielding = new TeammateYielding(cluster, deadlines, estimates);
     this.demandHistory = new DemandHistory(cluster, now);
+    this.unmetDemand = new UnmetDemand(cluster);
     this.scaleOutPlanner = new ScaleOutPlanner(cluster, bootTimes, deadlines);
     this.consolidation = new FleetConsolidation(cluster, deadlines, demandHistory, now);
     this.scaleInPlanner = new ScaleInPlanner(cluster, bootTimes, now);
@@ -85,6 +87,11 @@
     scaleOutPlanner.onScaleOutResponse(id, machineNames, noCapacity, now);
   }
 
+  /** Waiting tasks for which the last plan requested no machine, by each cause. */
+  Map<UnmetDemand.Cause, Integer> unmetTasksByCause() {
+    return unmetDemand.tasksByCause();
+  }
+
   /** Jobs that yield to other jobs of their team, as of the last plan. */
   Set<Job> jobsYieldingToTeammates() {
     return jobsYieldingToTeammates;
@@ -116,7 +123,9 @@
     Map<JobSpec, Integer> spareCapacity = demandHistory.spareCapacity(now);
     double missingCpus = Math.max(0, neededCpus - availableCpus);
     Map<InstancePool, Integer> machinesToRequest =
-        scaleOutPlanner.pack(bins, spareCapacity, missingCpus, spareCapacityMachines, now);
+        scaleOutPlanner.pack(
+            bins, spareCapacity, missingCpus, spareCapacityMachines, unmetDemand, now);
+    unmetDemand.endPlan(neededCpus, availableCpus, now);
     consolidation.consolidate(availableCpus - neededCpus, spareCapacityMachines, now);
     scaleOutPlanner.sendRequests(machinesToRequest, now);
     scaleInPlanner.scaleIn(spareCapacityMachines, now);
--- a/src/main/java/graderelay/core/ScaleOutPacking.java
+++ b/src/main/java/graderelay/core/ScaleOutPacking.java
@@ -21,14 +21,19 @@
   /**
    * Tasks of one spec that are packed together.
    *
-   * @param spare whether they represent spare capacity rather than waiting tasks
+   * @param job the job whose waiting tasks they are; null if they represent spare capacity
    */
-  private record TaskGroup(JobSpec spec, int tasks, ZoneTaskLimit zones, boolean spare) {}
+  private record TaskGroup(JobSpec spec, int tasks, ZoneTaskLimit zones, Job job) {
+    private boolean isSpareCapacity() {
+      return job == null;
+    }
+  }
 
   private final ClusterState cluster;
   private final Deadlines deadlines;
   private final PoolChooser poolChooser;
   private final List<PackingBin> bins;
+  private final UnmetDemand unmetDemand;
   private final double now;
 
   /** On-demand CPUs that may still be requested for work that can wait for spot machines. */
@@ -43,6 +48,7 @@
    * Creates the packing of one plan.
    *
    * @param bins machines that can take tasks; machines to request are added to it
+   * @param unmetDemand receives the waiting tasks for which no machine is requested
    * @param onDemandCpus on-demand CPUs needed to meet deadlines, beyond the existing fleet
    */
   ScaleOutPacking(
@@ -50,12 +56,14 @@
       Deadlines deadlines,
       PoolChooser poolChooser,
       List<PackingBin> bins,
+      UnmetDemand unmetDemand,
       double onDemandCpus,
       double now) {
     this.cluster = cluster;
     this.deadlines = deadlines;
     this.poolChooser = poolChooser;
     this.bins = bins;
+    this.unmetDemand = unmetDemand;
     this.onDemandCpusLeft = onDemandCpus;
     this.now = now;
   }
@@ -76,7 +84,7 @@
         if (job.spec.isService() == services) {
           ZoneTaskLimit zones = ZoneTaskLimit.of(job);
           packGroup(
-              new TaskGroup(job.spec, tasksWithinLimit(job), zones, false), spareCapacityMachines);
+              new TaskGroup(job.spec, tasksWithinLimit(job), zones, job), spareCapacityMachines);
         }
       }
       for (var spare : spareCapacity.entrySet()) {
@@ -84,7 +92,7 @@
         int tasks = spare.getValue();
         if (spec.isService() == services) {
           ZoneTaskLimit zones = ZoneTaskLimit.ofSpareRoom(spec, tasks);
-          packGroup(new TaskGroup(spec, tasks, zones, true), spareCapacityMachines);
+          packGroup(new TaskGroup(spec, tasks, zones, null), spareCapacityMachines);
         }
       }
     }
@@ -159,7 +167,7 @@
           continue;
         }
         int packed = packInto(bin, group, tasksLeft);
-        if (packed > 0 && group.spare() && bin.machine != null) {
+        if (packed > 0 && group.isSpareCapacity() && bin.machine != null) {
           spareCapacityMachines.add(bin.machine);
         }
         tasksLeft -= packed;
@@ -198,6 +206,7 @@
       boolean spotOnly = mayWaitForSpot && onDemandCpusLeft <= 0;
       InstancePool pool = poolChooser.cheapestPool(spec, tasksLeft, group.zones(), spotOnly, now);
       if (pool == null) {
+        addUnmetDemand(group, tasksLeft, spotOnly);
         return;
       }
       MachineType type = cluster.machineTypes.get(pool.type());
@@ -213,4 +222,17 @@
       }
     }
   }
+
+  /** Records that no machine is requested for waiting tasks. */
+  private void addUnmetDemand(TaskGroup group, int tasks, boolean spotOnly) {
+    if (group.isSpareCapacity()) {
+      return;
+    }
+    boolean onDemandWithheld =
+        spotOnly
+            && poolChooser.cheapestPool(group.spec(), tasks, group.zones(), false, now) != null;
+    UnmetDemand.Cause cause =
+        onDemandWithheld ? UnmetDemand.Cause.ON_DEMAND_WITHHELD : UnmetDemand.Cause.NO_CAPACITY;
+    unmetDemand.add(group.job(), tasks, cause, now);
+  }
 }
--- a/src/main/java/graderelay/core/Scheduler.java
+++ b/src/main/java/graderelay/core/Scheduler.java
@@ -5,6 +5,7 @@
 import graderelay.quota.TeamQuotaStatus;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -370,6 +371,16 @@
     machineEvents.onCordons(cordoned, drained, now);
   }
 
+  /**
+   * Number of waiting tasks for which the last fleet plan neither found room nor requested a
+   * machine, by the label of the cause.
+   */
+  public Map<String, Integer> unmetTasksByCause() {
+    Map<String, Integer> tasksByLabel = new HashMap<>();
+    planner.unmetTasksByCause().forEach((cause, tasks) -> tasksByLabel.put(cause.label, tasks));
+    return tasksByLabel;
+  }
+
   /** Number of machines and claims examined by scheduling rounds so far. */
   public long examinedCount() {
     return cluster.examinedCount;
--- a/src/main/java/graderelay/service/Metrics.java
+++ b/src/main/java/graderelay/service/Metrics.java
@@ -139,6 +139,7 @@
                 .forEach(sample -> setGauge(sample.name(), sample.tags(), sample.value())));
     if (core != null) {
       updateMachineGauges(core);
+      updateUnmetDemandGauges(core);
     }
     return registry.scrape();
   }
@@ -183,6 +184,13 @@
         });
   }
 
+  /** Reports the waiting tasks for which the leader's last fleet plan requested no machine. */
+  private void updateUnmetDemandGauges(Scheduler core) {
+    core.unmetTasksByCause()
+        .forEach(
+            (cause, tasks) -> setGauge("graderelay.demand.unmet", Tags.of("cause", cause), tasks));
+  }
+
   /**
    * Sets a gauge to a value. The gauge is registered once and reads its value from an array cell,
    * which is reused.
--- a/src/test/java/graderelay/api/AdminTest.java
+++ b/src/test/java/graderelay/api/AdminTest.java
@@ -125,6 +125,7 @@
     assertThat(text[0])
         .contains("graderelay_tasks{outcome=\"done\"} 2.0")
         .contains("graderelay_fleet{kind=")
+        .contains("graderelay_demand_unmet{cause=\"on_demand_withheld\"} 0.0")
         .contains("graderelay_calls{call=\"multi 200\",service=\"state\"}")
         .contains("graderelay_queue_wait_seconds_count 2")
         .contains("graderelay_takeovers");
