Request on-demand machines for overdue work that spot machines don't come for

Cause: on-demand machines are requested for work that may wait for spot ones only up to the CPUs that its deadlines need (Deadlines.neededCpus), and a deadline that can't be met counted for nothing. What remained was the floor of the CPUs that run already: 0 on an empty fleet. The same stood at three more places in that sum: - a job that is late because of its team's limit was left out, even before its deadline (its deadline must not raise the need, its work must count); - an overdue job of a class with objectives was due in 60 s, which counted as not to be met for tasks of 120 s and more; - so for every job, whatever its size, after its deadline.

Change: work that can't be in time is due soon (60 s, or one run time if that is longer) in place of never; every job counts, and every term of the sum can be met, so the condition in cpusToMeet is gone. Spot machines are still cheaper and are asked for first; on-demand ones only while the cloud refuses those. A team's limit bounds the need as before.

The specs of the core's tests come from JobSpecBuilder now, which replaces two calls with 23 arguments.

--- a/src/main/java/graderelay/core/Deadlines.java
+++ b/src/main/java/graderelay/core/Deadlines.java
@@ -6,7 +6,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.stream.DoubleStream;
 
 /**
  * Computes what the fleet needs to meet deadlines: the CPUs with which all arrays are done in time
@@ -120,70 +122,78 @@
 
   /**
    * CPUs with which all work that may wait for spot machines would be in time. The work of a job
-   * that can't be in time any more is included, but its deadline does not raise the number.
+   * that can't be in time any more is due soon: it still has to run, and must not wait for spot
+   * machines that may never be available again.
    *
-   * @param yielding jobs that yield to other jobs of their team; their deadlines are ignored
+   * @param lateUnderTeamLimits jobs that will be late because of their team's limit
    */
-  double neededCpus(Set<Job> yielding, double now) {
+  double neededCpus(Set<Job> lateUnderTeamLimits, double now) {
     double runningCpus = 0;
     double totalWork = 0;
-    List<DueWork> deadlineWork = new ArrayList<>();
-    Map<String, List<DueWork>> deadlineWorkByTeam = new HashMap<>();
+    List<DueWork> allWork = new ArrayList<>();
+    Map<String, List<DueWork>> workByTeam = new HashMap<>();
     for (Job job : cluster.jobs.values()) {
       if (!mayWaitForSpot(job) || job.cancelRequested || job.suspect || job.awaitsDependencies()) {
         continue;
       }
       JobSpec spec = job.spec;
-      DueWork due = dueWork(job, now);
+      DueWork due = dueWork(job, lateUnderTeamLimits.contains(job), now);
       totalWork += due.work();
       runningCpus += job.claims.size() * spec.cpus();
-      if (hasObjective(spec) || !yielding.contains(job)) {
-        deadlineWork.add(due);
-        deadlineWorkByTeam.computeIfAbsent(spec.team(), t -> new ArrayList<>()).add(due);
-      }
+      allWork.add(due);
+      workByTeam.computeIfAbsent(spec.team(), t -> new ArrayList<>()).add(due);
     }
-    double withinLimits = cpusWithinTeamLimits(deadlineWorkByTeam, now);
-    double needed = Math.min(cpusToMeet(deadlineWork, now), withinLimits);
+    double withinLimits = cpusWithinTeamLimits(workByTeam, now);
+    double needed = Math.min(cpusToMeet(allWork, now), withinLimits);
     return Math.max(needed, Math.min(runningCpus, totalWork / RELAXED_COMPLETION_S))
         / PACKING_EFFICIENCY;
   }
 
-  private DueWork dueWork(Job job, double now) {
+  private DueWork dueWork(Job job, boolean lateUnderTeamLimit, double now) {
     double estimate = estimates.estimateRunTimeS(job.spec);
     double work = remainingWork(job, estimate, now);
     if (hasObjective(job.spec)) {
       work *= OBJECTIVE_WORK_FACTOR; // It has objectives to meet besides its deadline.
     }
-    return new DueWork(dueAt(job, estimate, now), work, estimate);
+    return new DueWork(dueAt(job, estimate, lateUnderTeamLimit, now), work, estimate);
   }
 
   /**
-   * The time by which the job's work should be done. For a class with objectives that is the next
-   * objective or deadline that can still be met, or if there is none, a time soon from now: an
-   * overdue job still has to run, and must not wait on a fleet that is scaled in because no
-   * deadline requires it.
+   * The time by which the job's work should be done: the next objective or deadline that can still
+   * be met, or if there is none, a time soon from now. A deadline that the team's limit rules out
+   * does not bring that time forward.
    */
-  private double dueAt(Job job, double estimate, double now) {
-    double deadline = job.dueAt();
+  private double dueAt(Job job, double estimate, boolean lateUnderTeamLimit, double now) {
+    double soon =
+        now + DEADLINE_MARGIN_S + estimate * 0.5 + Math.max(RELAXED_COMPLETION_S, estimate);
     if (!hasObjective(job.spec)) {
-      return deadline;
+      if (lateUnderTeamLimit) {
+        return Math.max(soon, job.dueAt());
+      }
+      return canBeDoneBy(job.dueAt(), estimate, now) ? job.dueAt() : soon;
     }
+    return nextTarget(job, estimate, now).orElse(soon);
+  }
+
+  /** The next objective or deadline of the job that can still be met. */
+  private OptionalDouble nextTarget(Job job, double estimate, double now) {
     String jobClass = job.spec.jobClass();
     Double startS = cluster.policy.startObjectivesS().get(jobClass);
     Double completionS = cluster.policy.completionObjectivesS().get(jobClass);
-    double[] targetEnds = {
-      startS == null || job.openTasks.isEmpty() ? deadline : job.eligibleSince + startS + estimate,
-      completionS == null ? deadline : job.eligibleSince + completionS,
-      deadline
-    };
-    double next = Double.MAX_VALUE;
-    for (double end : targetEnds) {
-      if (end - now - DEADLINE_MARGIN_S > estimate) {
-        next = Math.min(next, end);
-      }
-    }
-    double soon = now + RELAXED_COMPLETION_S + DEADLINE_MARGIN_S + estimate * 0.5;
-    return next == Double.MAX_VALUE ? soon : next;
+    double deadline = job.dueAt();
+    return DoubleStream.of(
+            startS == null || job.openTasks.isEmpty()
+                ? deadline
+                : job.eligibleSince + startS + estimate,
+            completionS == null ? deadline : job.eligibleSince + completionS,
+            deadline)
+        .filter(end -> canBeDoneBy(end, estimate, now))
+        .min();
+  }
+
+  /** True if a task that starts now would be done by that time, with a margin. */
+  private static boolean canBeDoneBy(double end, double estimate, double now) {
+    return end - now - DEADLINE_MARGIN_S > estimate;
   }
 
   /**
@@ -208,9 +218,7 @@
       work += due.work();
       // The last wave of tasks has to start this long before the deadline.
       double slack = due.dueAt() - now - due.estimateS() * 0.5 - DEADLINE_MARGIN_S;
-      if (slack > due.estimateS() * 0.5) {
-        needed = Math.max(needed, work / slack);
-      }
+      needed = Math.max(needed, work / slack);
     }
     return needed;
   }
--- a/src/test/java/graderelay/core/SchedulerFixture.java
+++ b/src/test/java/graderelay/core/SchedulerFixture.java
@@ -74,116 +74,57 @@
 
   /** Creates an array with the default image. */
   public static JobSpec array(String id, int tasks) {
-    return array(id, tasks, "i");
+    return JobSpecBuilder.array(id).tasks(tasks).build();
   }
 
   /** Creates an array with the given image. */
   public static JobSpec array(String id, int tasks, String image) {
-    return jobSpec(id, JobKind.ARRAY, Priority.NORMAL, tasks, image, null, false);
+    return JobSpecBuilder.array(id).tasks(tasks).image(image).build();
   }
 
   /** Creates an array with a deadline, relative to its submission. */
   public static JobSpec arrayWithDeadline(String id, int tasks, double deadlineS) {
-    return jobSpec(id, JobKind.ARRAY, Priority.NORMAL, tasks, "i", deadlineS, false);
+    return JobSpecBuilder.array(id).tasks(tasks).deadlineS(deadlineS).build();
   }
 
   /** Creates an array with the given priority and optional deadline. */
   public static JobSpec arrayWithPriority(
       String id, Priority priority, int tasks, Double deadlineS) {
-    return jobSpec(id, JobKind.ARRAY, priority, tasks, "i", deadlineS, false);
+    return JobSpecBuilder.array(id).tasks(tasks).priority(priority).deadlineS(deadlineS).build();
   }
 
   /** Creates an array of the lowest priority, of a team without a limit in the settings. */
   public static JobSpec unlimitedTeamArray(String id, int tasks) {
-    return copyWith(arrayWithPriority(id, Priority.LOW, tasks, null), "study", "guest", 1);
+    return unlimitedTeam(id, tasks).priority(Priority.LOW).build();
   }
 
   /** Creates an urgent array of a team without a limit in the settings. */
   public static JobSpec urgentUnlimitedTeamArray(String id, int tasks, double cpus) {
-    return copyWith(arrayWithPriority(id, Priority.URGENT, tasks, null), "study", "guest", cpus);
+    return unlimitedTeam(id, tasks).priority(Priority.URGENT).taskSize(cpus).build();
   }
 
   /** Creates an array of such small tasks that thousands fit on one machine. */
   public static JobSpec tinyTaskArray(String id, int tasks) {
-    return copyWith(array(id, tasks), "batch", "team", 0.001);
+    return JobSpecBuilder.array(id).tasks(tasks).taskSize(0.001).build();
   }
 
   /** Creates an array of tasks that each need a whole machine. */
   public static JobSpec wholeMachineArray(String id, int tasks) {
-    return copyWith(array(id, tasks), "study", "guest", 4);
-  }
-
-  /** Copies an array with another class, team, and amount of CPUs and memory per task. */
-  private static JobSpec copyWith(JobSpec spec, String jobClass, String team, double taskSize) {
-    return new JobSpec(
-        spec.id(),
-        jobClass,
-        team,
-        spec.kind(),
-        spec.priority(),
-        spec.tasks(),
-        taskSize,
-        0,
-        taskSize,
-        spec.image(),
-        spec.imageGb(),
-        null,
-        null,
-        false,
-        false,
-        true,
-        10,
-        0,
-        0,
-        null,
-        0,
-        500,
-        List.of());
+    return unlimitedTeam(id, tasks).taskSize(4).build();
+  }
+
+  private static JobSpecBuilder unlimitedTeam(String id, int tasks) {
+    return JobSpecBuilder.array(id).tasks(tasks).jobClass("study").team("guest");
   }
 
   /** Creates a service with the given number of replicas. */
   public static JobSpec service(String id, int tasks) {
-    return jobSpec(id, JobKind.SERVICE, Priority.PROD, tasks, "i", null, false);
+    return JobSpecBuilder.service(id).tasks(tasks).build();
   }
 
   /** Creates a service with at most half of its replicas in one zone. */
   public static JobSpec spreadService(String id, int tasks) {
-    return jobSpec(id, JobKind.SERVICE, Priority.PROD, tasks, "i", null, true);
-  }
-
-  private static JobSpec jobSpec(
-      String id,
-      JobKind kind,
-      Priority priority,
-      int tasks,
-      String image,
-      Double deadlineS,
-      boolean spread) {
-    boolean array = kind == JobKind.ARRAY;
-    return new JobSpec(
-        id,
-        array ? "batch" : "web",
-        "team",
-        kind,
-        priority,
-        tasks,
-        1,
-        0,
-        1,
-        image,
-        1,
-        null,
-        null,
-        false,
-        spread,
-        array,
-        array ? 10 : 0,
-        0,
-        0,
-        deadlineS,
-        0,
-        500,
-        List.of());
+    return JobSpecBuilder.service(id).tasks(tasks).spread(true).build();
   }
 
   /** Creates a heartbeat that lists the given tasks. */
