Give a job that no machine can ever take an on-demand machine of its own

What callers saw: a job with a deadline and spot allowed, bound to a zone without machines, waits for as long as the cloud has no spot machines there, beside idle machines of another zone.

The CPUs that deadlines need are compared with the CPUs of the whole fleet, so machines on which the job can never be placed (another zone or type, memory that services keep, a machine that it avoids) count as room for it. Nothing is missing by that sum, so on-demand machines are withheld for good.

Change: ScaleOutPacking requests the first machine of a job that has no claim and that no machine of the plan could take, not even once the arrays there have ended, whatever the sum says. Spot machines are asked for first as before, and a job that can take its turn on a machine gets none.

Evidence: JobsWithoutMachineTest, before: 2 of 3 fail (other zone; memory that services keep), after: none. The third, jobThatCanTakeItsTurnGetsNoOnDemandMachine, holds before and after. Tests of the core: all pass.

--- a/src/main/java/graderelay/core/PackingBin.java
+++ b/src/main/java/graderelay/core/PackingBin.java
@@ -13,16 +13,21 @@
   /** Resources left after the claims and the tasks packed so far. */
   private Resources free;
 
+  /** Resources beside those of services, which keep theirs until they are cancelled. */
+  private Resources besideServices;
+
   /** Number of further tasks allowed by the limit on tasks per machine. */
   private int freeSlots;
 
   /** Resources of array claims below production priority, which can be preempted for services. */
   private Resources preemptible = Resources.NONE;
 
-  private PackingBin(Machine machine, InstancePool pool, Resources free, int slots) {
+  private PackingBin(
+      Machine machine, InstancePool pool, Resources free, Resources besideServices, int slots) {
     this.machine = machine;
     this.pool = pool;
     this.free = free;
+    this.besideServices = besideServices;
     this.freeSlots = slots;
   }
 
@@ -30,7 +35,8 @@
   static PackingBin of(Machine machine) {
     InstancePool pool = new InstancePool(machine.type, machine.zone, machine.spot);
     int slots = SchedulerLimits.MAX_TASKS_PER_MACHINE - machine.claims.size();
-    PackingBin bin = new PackingBin(machine, pool, machine.free(), slots);
+    Resources besideServices = machine.capacity.minus(machine.serviceResources);
+    PackingBin bin = new PackingBin(machine, pool, machine.free(), besideServices, slots);
     for (Claim claim : machine.claims.values()) {
       if (!claim.job.spec.isService() && Priority.PROD.isHigherThan(claim.priority)) {
         bin.preemptible = bin.preemptible.plus(claim.resources());
@@ -41,7 +47,8 @@
 
   /** Returns the empty bin of a requested or planned machine. */
   static PackingBin ofRequestedMachine(InstancePool pool, MachineType type) {
-    return new PackingBin(null, pool, Resources.of(type), SchedulerLimits.MAX_TASKS_PER_MACHINE);
+    Resources capacity = Resources.of(type);
+    return new PackingBin(null, pool, capacity, capacity, SchedulerLimits.MAX_TASKS_PER_MACHINE);
   }
 
   /** Number of tasks of the spec that fit; for a service, preemptible resources count as free. */
@@ -52,14 +59,20 @@
 
   /** Packs tasks of the spec into the bin. */
   void pack(JobSpec spec, int tasks) {
-    free =
-        new Resources(
-            free.cpus() - tasks * spec.cpus(),
-            free.gpus() - tasks * spec.gpus(),
-            free.memGb() - tasks * spec.memGb());
+    Resources packed =
+        new Resources(tasks * spec.cpus(), tasks * spec.gpus(), tasks * spec.memGb());
+    free = free.minus(packed);
+    if (spec.isService()) {
+      besideServices = besideServices.minus(packed);
+    }
     freeSlots -= tasks;
   }
 
+  /** True if a task of the array fits now, or once the arrays on the machine have ended. */
+  boolean hasRoomBesideServices(JobSpec spec) {
+    return besideServices.hasRoomFor(Resources.of(spec));
+  }
+
   /** True if a task with this many CPUs does not fit, even with preemption. */
   boolean isTooFullFor(double cpus) {
     return freeSlots <= 0 || free.cpus() + preemptible.cpus() < cpus;
--- a/src/main/java/graderelay/core/ScaleOutPacking.java
+++ b/src/main/java/graderelay/core/ScaleOutPacking.java
@@ -32,7 +32,14 @@
   private final ClusterState cluster;
   private final Deadlines deadlines;
   private final PoolChooser poolChooser;
+  private final PlacementRules placementRules;
+
+  /** All machines that can take tasks, and the machines to request. */
   private final List<PackingBin> bins;
+
+  /** Those of them on which the smallest task of the plan may fit. */
+  private final List<PackingBin> openBins = new ArrayList<>();
+
   private final UnmetDemand unmetDemand;
   private final double now;
 
@@ -62,6 +69,7 @@
     this.cluster = cluster;
     this.deadlines = deadlines;
     this.poolChooser = poolChooser;
+    this.placementRules = new PlacementRules(cluster);
     this.bins = bins;
     this.unmetDemand = unmetDemand;
     this.onDemandCpusLeft = onDemandCpus;
@@ -77,7 +85,7 @@
   Map<InstancePool, Integer> pack(
       Map<JobSpec, Integer> spareCapacity, Set<Machine> spareCapacityMachines) {
     List<Job> waiting = waitingJobs();
-    removeFullBins(waiting, spareCapacity.keySet());
+    selectOpenBins(waiting, spareCapacity.keySet());
     // Services first: they can't use spot machines, and arrays can be preempted for them.
     for (boolean services : SERVICES_FIRST) {
       for (Job job : waiting) {
@@ -111,10 +119,10 @@
   }
 
   /**
-   * Removes the machines on which not even the smallest task of the plan fits. On a busy fleet
+   * Leaves out the machines on which not even the smallest task of the plan fits. On a busy fleet
    * these are the majority, and each waiting job would otherwise examine all of them.
    */
-  private void removeFullBins(List<Job> waiting, Set<JobSpec> spareSpecs) {
+  private void selectOpenBins(List<Job> waiting, Set<JobSpec> spareSpecs) {
     double smallestTaskCpus = Double.MAX_VALUE;
     for (Job job : waiting) {
       smallestTaskCpus = Math.min(smallestTaskCpus, job.spec.cpus());
@@ -123,7 +131,11 @@
       smallestTaskCpus = Math.min(smallestTaskCpus, spec.cpus());
     }
     double minFreeCpus = smallestTaskCpus - Resources.ROUNDING_TOLERANCE;
-    bins.removeIf(bin -> bin.isTooFullFor(minFreeCpus));
+    for (PackingBin bin : bins) {
+      if (!bin.isTooFullFor(minFreeCpus)) {
+        openBins.add(bin);
+      }
+    }
   }
 
   /**
@@ -159,7 +171,7 @@
   private int fillBins(TaskGroup group, Set<Machine> spareCapacityMachines) {
     int tasksLeft = group.tasks();
     for (boolean spot : SPOT_FIRST) {
-      for (PackingBin bin : bins) {
+      for (PackingBin bin : openBins) {
         if (tasksLeft <= 0) {
           return tasksLeft;
         }
@@ -197,13 +209,17 @@
     return tasks;
   }
 
-  /** Adds machines to request for the tasks, as long as there is an eligible pool. */
+  /**
+   * Adds machines to request for the tasks, as long as there is an eligible pool. A job that no
+   * machine can ever take gets its first one whatever deadlines need: the CPUs that the fleet has
+   * beyond that are of no use to it, and spot machines may never be available.
+   */
   private void addMachines(TaskGroup group, int tasks) {
     JobSpec spec = group.spec();
     boolean mayWaitForSpot = deadlines.mayWaitForSpot(spec);
     int tasksLeft = tasks;
     while (tasksLeft > 0) {
-      boolean spotOnly = mayWaitForSpot && onDemandCpusLeft <= 0;
+      boolean spotOnly = mayWaitForSpot && onDemandCpusLeft <= 0 && canRunOnFleet(group);
       InstancePool pool = poolChooser.cheapestPool(spec, tasksLeft, group.zones(), spotOnly, now);
       if (pool == null) {
         addUnmetDemand(group, tasksLeft, spotOnly);
@@ -216,6 +232,7 @@
       PackingBin bin = PackingBin.ofRequestedMachine(pool, type);
       tasksLeft -= packInto(bin, group, tasksLeft);
       bins.add(bin);
+      openBins.add(bin);
       if (machinesToRequest.merge(pool, 1, Integer::sum)
           >= ScaleOutPlanner.MAX_MACHINES_PER_REQUEST) {
         return;
@@ -223,6 +240,24 @@
     }
   }
 
+  /**
+   * True if tasks of the job run, or if a machine can take one now or once the arrays there have
+   * ended. Always true for spare capacity.
+   */
+  private boolean canRunOnFleet(TaskGroup group) {
+    if (group.isSpareCapacity() || !group.job().claims.isEmpty()) {
+      return true;
+    }
+    for (PackingBin bin : bins) {
+      if (poolChooser.isEligible(group.spec(), bin.pool)
+          && bin.hasRoomBesideServices(group.spec())
+          && (bin.machine == null || placementRules.isAllowed(group.job(), bin.machine))) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Records that no machine is requested for waiting tasks. */
   private void addUnmetDemand(TaskGroup group, int tasks, boolean spotOnly) {
     if (group.isSpareCapacity()) {
--- a/src/test/java/graderelay/core/JobSpecBuilder.java
+++ b/src/test/java/graderelay/core/JobSpecBuilder.java
@@ -72,6 +72,12 @@
     return this;
   }
 
+  /** Gigabytes of memory that each task needs. */
+  JobSpecBuilder memGb(double newMemGb) {
+    memGb = newMemGb;
+    return this;
+  }
+
   JobSpecBuilder image(String newImage) {
     image = newImage;
     return this;
--- /dev/null
+++ b/src/test/java/graderelay/core/JobsWithoutMachineTest.java
@@ -0,0 +1,86 @@
+package graderelay.core;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Machines requested for a job that no machine of the fleet can ever take, while the cloud has no
+ * spot machines. The fleet's machines are of type small: 4 CPUs, 16 GB.
+ */
+class JobsWithoutMachineTest {
+  private static final double AMPLE_DEADLINE_S = 400;
+
+  private final Scheduler scheduler = SchedulerFixture.scheduler(1);
+
+  private void registerMachines(int count) {
+    for (int i = 0; i < count; i++) {
+      SchedulerFixture.registerMachine(scheduler, SchedulerFixture.machineName(i), 0.1);
+    }
+  }
+
+  /** Submits the job; returns the on-demand machines requested for it in three plans. */
+  private List<Action.ScaleOut> onDemandRequestsFor(JobSpec spec) {
+    scheduler.onJob(spec, false, 5, 0.2, 0.2);
+    return onDemandRequests(1);
+  }
+
+  /** The on-demand machines requested in three plans; requests of spot machines are refused. */
+  private List<Action.ScaleOut> onDemandRequests(double from) {
+    List<Action.ScaleOut> onDemand = new ArrayList<>();
+    for (double now = from; now < from + 3; now++) {
+      scheduler.tick(now);
+      for (Action action : new ArrayList<>(SchedulerFixture.pendingActions(scheduler))) {
+        if (action instanceof Action.ScaleOut scaleOut) {
+          SchedulerFixture.pendingActions(scheduler).remove(action);
+          if (scaleOut.spot()) {
+            scheduler.onScaleOutResponse(scaleOut.id(), null, true, now);
+          } else {
+            onDemand.add(scaleOut);
+          }
+        }
+      }
+    }
+    return onDemand;
+  }
+
+  private static JobSpecBuilder arrayWithDeadline() {
+    return JobSpecBuilder.array("j-1").tasks(2).deadlineS(AMPLE_DEADLINE_S);
+  }
+
+  @Test
+  void jobBoundToZoneWithoutMachinesGetsOneBesideIdleMachinesOfAnotherZone() {
+    // Guards against counting CPUs in other zones as room for a job that may not use them.
+    registerMachines(3);
+    assertThat(onDemandRequestsFor(arrayWithDeadline().zone("b").build()))
+        .singleElement()
+        .satisfies(request -> assertThat(request.zone()).isEqualTo("b"))
+        .satisfies(request -> assertThat(request.count()).isEqualTo(1));
+  }
+
+  @Test
+  void jobGetsMachineWhereServicesHaveTheMemoryOfAllMachines() {
+    // Guards against counting CPUs on machines whose memory services keep as room for the job.
+    registerMachines(1);
+    JobSpec service = JobSpecBuilder.service("j-0").memGb(16).build();
+    scheduler.onJob(service, false, 4, 0.1, 0.1);
+    SchedulerFixture.commitAll(scheduler, 100, 0.2);
+    assertThat(SchedulerFixture.claimCount(scheduler, SchedulerFixture.machineName(0)))
+        .isEqualTo(1);
+    assertThat(onDemandRequestsFor(arrayWithDeadline().build())).hasSize(1);
+  }
+
+  @Test
+  void jobThatCanTakeItsTurnGetsNoOnDemandMachine() {
+    // Guards against paying for on-demand machines where work in time, or other work, ends first.
+    registerMachines(1);
+    JobSpec running = JobSpecBuilder.array("j-0").tasks(4).build();
+    scheduler.onJob(running, false, 4, 0.1, 0.1);
+    SchedulerFixture.commitAll(scheduler, 100, 0.2);
+    assertThat(SchedulerFixture.claimCount(scheduler, SchedulerFixture.machineName(0)))
+        .isEqualTo(4);
+    assertThat(onDemandRequestsFor(arrayWithDeadline().build())).isEmpty();
+  }
+}
