Request a machine for a suspect job when none is left that it could use

What callers saw: a job whose tasks failed on three machines (faulty ones, for example) is tried one task at a time later, but never again if its machines are deleted meanwhile, as idle ones are: it stays pending for good.

Cause: fleet plans leave suspect jobs out, so that a job that fails everywhere adds no demand. Nothing else asks for a machine on its account.

Change: once its backoff is over, a suspect job that no machine of the plan can take gets one machine, for one task. Where there is a machine, nothing changes.

Evidence: JobsWithoutMachineTest.suspectJobGetsOneMachineWhenNoneIsLeft, without the call in pack(): no request; with it: one machine.

--- a/src/main/java/graderelay/core/ScaleOutPacking.java
+++ b/src/main/java/graderelay/core/ScaleOutPacking.java
@@ -104,9 +104,26 @@
         }
       }
     }
+    requestMachinesForSuspectJobs();
     return machinesToRequest;
   }
 
+  /**
+   * Requests a machine for each suspect job that no machine can ever take. Where one can, the job
+   * is tried there, one task at a time, and adds no demand.
+   */
+  private void requestMachinesForSuspectJobs() {
+    for (Job job : cluster.jobs.values()) {
+      if (job.isWaiting() && job.suspect && job.notBefore <= now) {
+        int tasks = Math.min(1, tasksWithinLimit(job));
+        TaskGroup group = new TaskGroup(job.spec, tasks, ZoneTaskLimit.of(job), job);
+        if (!canRunOnFleet(group)) {
+          addMachines(group, tasks);
+        }
+      }
+    }
+  }
+
   private List<Job> waitingJobs() {
     List<Job> waiting = new ArrayList<>();
     for (Job job : cluster.jobs.values()) {
--- a/src/test/java/graderelay/core/JobsWithoutMachineTest.java
+++ b/src/test/java/graderelay/core/JobsWithoutMachineTest.java
@@ -83,4 +83,51 @@
         .isEqualTo(4);
     assertThat(onDemandRequestsFor(arrayWithDeadline().build())).isEmpty();
   }
+
+  @Test
+  void suspectJobGetsOneMachineWhenNoneIsLeft() {
+    // Guards against a job that failed on several machines and is never tried on another one.
+    registerMachines(3);
+    JobSpec spec = JobSpecBuilder.array("j-1").tasks(20).onDemandOnly().build();
+    scheduler.onJob(spec, false, 5, 0.2, 0.2);
+    SchedulerFixture.commitAll(scheduler, 100, 0.3);
+    failLaunchedTasks(0.5);
+    SchedulerFixture.commitAll(scheduler, 101, 0.6);
+    assertThat(SchedulerFixture.logLines(scheduler))
+        .anyMatch(line -> line.contains("j-1 fails on every machine"));
+    scheduler.onMachinesDeleted(
+        List.of(
+            SchedulerFixture.machineName(0),
+            SchedulerFixture.machineName(1),
+            SchedulerFixture.machineName(2)),
+        1);
+    assertThat(onDemandRequests(200))
+        .singleElement()
+        .satisfies(request -> assertThat(request.count()).isEqualTo(1));
+  }
+
+  /** Lets each launched task fail on its machine. */
+  private void failLaunchedTasks(double now) {
+    for (Action action : new ArrayList<>(SchedulerFixture.pendingActions(scheduler))) {
+      if (action instanceof Action.SendCommands sent) {
+        SchedulerFixture.pendingActions(scheduler).remove(action);
+        Heartbeat.TaskStatus[] failed =
+            sent.commands().stream()
+                .filter(WorkerCommand.Launch.class::isInstance)
+                .map(WorkerCommand.Launch.class::cast)
+                .map(
+                    launch ->
+                        new Heartbeat.TaskStatus(
+                            launch.task(),
+                            launch.attempt(),
+                            Heartbeat.Stage.EXITED,
+                            "error",
+                            false))
+                .toArray(Heartbeat.TaskStatus[]::new);
+        scheduler.onHeartbeat(
+            SchedulerFixture.heartbeat(sent.machine(), 1, 2, scheduler.term(), failed), now);
+        scheduler.onHeartbeatResponse(sent.machine(), now);
+      }
+    }
+  }
 }
