Let tasks without a machine leave their team's limit to teammates in the plan

What callers saw: a job that needs on-demand machines waits with none requested for it, its team under its limit, while an older job of the team waits for spot machines.

Cause: a fleet plan counts each job's open tasks against its team's limit before it knows whether they get a machine. Tasks for which on-demand machines are withheld, or the cloud has no capacity, so kept the limit from the team's other jobs for as long as they waited themselves.

Change: only tasks that the plan puts on a machine, present or to be requested, count against the limit.

Evidence: JobsWithoutMachineTest.jobThatWaitsForSpotMachinesLeavesItsTeamsLimitToTeammates, before: no request for the teammate; after: one.

--- a/src/main/java/graderelay/core/ScaleOutPacking.java
+++ b/src/main/java/graderelay/core/ScaleOutPacking.java
@@ -90,9 +90,7 @@
     for (boolean services : SERVICES_FIRST) {
       for (Job job : waiting) {
         if (job.spec.isService() == services) {
-          ZoneTaskLimit zones = ZoneTaskLimit.of(job);
-          packGroup(
-              new TaskGroup(job.spec, tasksWithinLimit(job), zones, job), spareCapacityMachines);
+          packWaitingTasks(job, spareCapacityMachines);
         }
       }
       for (var spare : spareCapacity.entrySet()) {
@@ -124,6 +122,15 @@
     }
   }
 
+  /** Packs a job's open tasks; those that get no machine leave the team's limit to other jobs. */
+  private void packWaitingTasks(Job job, Set<Machine> spareCapacityMachines) {
+    int tasks = tasksWithinLimit(job);
+    TaskGroup group = new TaskGroup(job.spec, tasks, ZoneTaskLimit.of(job), job);
+    int unpackedTasks = packGroup(group, spareCapacityMachines);
+    double packedCpus = (tasks - unpackedTasks) * job.spec.cpus();
+    cpusLeftByTeam.computeIfPresent(job.spec.team(), (team, cpusLeft) -> cpusLeft - packedCpus);
+  }
+
   private List<Job> waitingJobs() {
     List<Job> waiting = new ArrayList<>();
     for (Job job : cluster.jobs.values()) {
@@ -167,21 +174,17 @@
       return openTaskCount;
     }
     double cpusLeft = cpusLeftByTeam.computeIfAbsent(spec.team(), cluster.quotas::cpusLeft);
-    int tasks =
-        (int)
-            Math.max(
-                0,
-                Math.min(openTaskCount, (cpusLeft + Resources.ROUNDING_TOLERANCE) / spec.cpus()));
-    cpusLeftByTeam.put(spec.team(), cpusLeft - tasks * spec.cpus());
-    return tasks;
+    double tasksLeft = (cpusLeft + Resources.ROUNDING_TOLERANCE) / spec.cpus();
+    return (int) Math.max(0, Math.min(openTaskCount, tasksLeft));
   }
 
-  /** Packs the group into existing bins and adds machines to request for the rest. */
-  private void packGroup(TaskGroup group, Set<Machine> spareCapacityMachines) {
+  /**
+   * Packs the group into existing bins and adds machines to request for the rest. Returns the
+   * number of tasks left without a machine.
+   */
+  private int packGroup(TaskGroup group, Set<Machine> spareCapacityMachines) {
     int tasksLeft = fillBins(group, spareCapacityMachines);
-    if (tasksLeft > 0) {
-      addMachines(group, tasksLeft);
-    }
+    return tasksLeft > 0 ? addMachines(group, tasksLeft) : 0;
   }
 
   /** Packs tasks into existing bins and returns the number of tasks left over. */
@@ -229,9 +232,10 @@
   /**
    * Adds machines to request for the tasks, as long as there is an eligible pool. A job that no
    * machine can ever take gets its first one whatever deadlines need: the CPUs that the fleet has
-   * beyond that are of no use to it, and spot machines may never be available.
+   * beyond that are of no use to it, and spot machines may never be available. Returns the number
+   * of tasks left without a machine.
    */
-  private void addMachines(TaskGroup group, int tasks) {
+  private int addMachines(TaskGroup group, int tasks) {
     JobSpec spec = group.spec();
     boolean mayWaitForSpot = deadlines.mayWaitForSpot(spec);
     int tasksLeft = tasks;
@@ -240,7 +244,7 @@
       InstancePool pool = poolChooser.cheapestPool(spec, tasksLeft, group.zones(), spotOnly, now);
       if (pool == null) {
         addUnmetDemand(group, tasksLeft, spotOnly);
-        return;
+        return tasksLeft;
       }
       MachineType type = cluster.machineTypes.get(pool.type());
       if (mayWaitForSpot) {
@@ -252,9 +256,10 @@
       openBins.add(bin);
       if (machinesToRequest.merge(pool, 1, Integer::sum)
           >= ScaleOutPlanner.MAX_MACHINES_PER_REQUEST) {
-        return;
+        return tasksLeft;
       }
     }
+    return tasksLeft;
   }
 
   /**
--- a/src/test/java/graderelay/core/JobsWithoutMachineTest.java
+++ b/src/test/java/graderelay/core/JobsWithoutMachineTest.java
@@ -84,6 +84,18 @@
     assertThat(onDemandRequestsFor(arrayWithDeadline().build())).isEmpty();
   }
 
+  @Test
+  void jobThatWaitsForSpotMachinesLeavesItsTeamsLimitToTeammates() {
+    // Guards against a plan in which tasks without a machine use up their team's limit.
+    JobSpec patient = arrayWithDeadline().tasks(24).deadlineS(4000.0).build();
+    scheduler.onJob(patient, false, 4, 0.1, 0.1);
+    List<Action.ScaleOut> forPatient = onDemandRequests(1);
+    assertThat(forPatient).singleElement().matches(request -> request.count() == 1);
+    JobSpec teammate = JobSpecBuilder.array("j-2").tasks(4).onDemandOnly().build();
+    scheduler.onJob(teammate, false, 5, 5, 5);
+    assertThat(onDemandRequests(5)).isNotEmpty();
+  }
+
   @Test
   void suspectJobGetsOneMachineWhenNoneIsLeft() {
     // Guards against a job that failed on several machines and is never tried on another one.
