Don't count CPUs that other arrays keep for long as room for deadline work

What callers saw: a job with a deadline and spot allowed waits behind arrays that run for hours, while the cloud has no spot machines, with no on-demand machine requested for it, before its deadline and after.

Cause: the CPUs that deadlines need are compared with all CPUs beside services. CPUs of arrays that need no deadline met, or that can't use spot machines, counted as available to deadline work, however long those run.

Evidence: JobsWithoutMachineTest.jobGetsMachineWhereLongRunningWorkHasAllMachines, before: no request; after: one machine. jobThatCanTakeItsTurnGetsNoOnDemandMachine (tasks of 10 s in place of 10,000) holds before and after. Tests of the core: all pass.

--- a/src/main/java/graderelay/core/Deadlines.java
+++ b/src/main/java/graderelay/core/Deadlines.java
@@ -149,6 +149,25 @@
         / PACKING_EFFICIENCY;
   }
 
+  /**
+   * CPUs of arrays that can't wait for spot machines and will not end soon, so that no work with a
+   * deadline takes its turn there.
+   */
+  double cpusHeldByOtherArrays(double now) {
+    double cpus = 0;
+    for (Job job : cluster.jobs.values()) {
+      if (job.spec.isService() || job.claims.isEmpty() || mayWaitForSpot(job)) {
+        continue;
+      }
+      double estimateS = estimates.estimateRunTimeS(job.spec);
+      for (Claim claim : job.claims.values()) {
+        boolean endsSoon = remainingRunTimeS(claim, estimateS, now) <= RELAXED_COMPLETION_S;
+        cpus += endsSoon ? 0 : job.spec.cpus();
+      }
+    }
+    return cpus;
+  }
+
   private DueWork dueWork(Job job, boolean lateUnderTeamLimit, double now) {
     double estimate = estimates.estimateRunTimeS(job.spec);
     double work = remainingWork(job, estimate, now);
@@ -249,9 +268,13 @@
   static double remainingWork(Job job, double estimateS, double now) {
     double work = job.openTasks.cardinality() * estimateS * job.spec.cpus();
     for (Claim claim : job.claims.values()) {
-      double ranS = claim.runningSince > 0 ? now - claim.runningSince : 0;
-      work += Math.max(estimateS - ranS, estimateS * MIN_REMAINING_SHARE) * job.spec.cpus();
+      work += remainingRunTimeS(claim, estimateS, now) * job.spec.cpus();
     }
     return work;
   }
+
+  private static double remainingRunTimeS(Claim claim, double estimateS, double now) {
+    double ranS = claim.runningSince > 0 ? now - claim.runningSince : 0;
+    return Math.max(estimateS - ranS, estimateS * MIN_REMAINING_SHARE);
+  }
 }
--- a/src/main/java/graderelay/core/FleetPlanner.java
+++ b/src/main/java/graderelay/core/FleetPlanner.java
@@ -121,11 +121,12 @@
     double neededCpus = deadlines.neededCpus(lateUnderTeamLimits, now);
     Set<Machine> spareCapacityMachines = new HashSet<>();
     Map<JobSpec, Integer> spareCapacity = demandHistory.spareCapacity(now);
-    double missingCpus = Math.max(0, neededCpus - availableCpus);
+    double heldCpus = Math.min(availableCpus, deadlines.cpusHeldByOtherArrays(now));
+    double missingCpus = Math.max(0, neededCpus - (availableCpus - heldCpus));
     Map<InstancePool, Integer> machinesToRequest =
         scaleOutPlanner.pack(
             bins, spareCapacity, missingCpus, spareCapacityMachines, unmetDemand, now);
-    unmetDemand.endPlan(neededCpus, availableCpus, now);
+    unmetDemand.endPlan(neededCpus, availableCpus - heldCpus, now);
     consolidation.consolidate(availableCpus - neededCpus, spareCapacityMachines, now);
     scaleOutPlanner.sendRequests(machinesToRequest, now);
     scaleInPlanner.scaleIn(spareCapacityMachines, now);
--- a/src/test/java/graderelay/core/JobsWithoutMachineTest.java
+++ b/src/test/java/graderelay/core/JobsWithoutMachineTest.java
@@ -76,12 +76,26 @@
   void jobThatCanTakeItsTurnGetsNoOnDemandMachine() {
     // Guards against paying for on-demand machines where work in time, or other work, ends first.
     registerMachines(1);
-    JobSpec running = JobSpecBuilder.array("j-0").tasks(4).build();
+    fillMachineWithTasksOf(10);
+    assertThat(onDemandRequestsFor(arrayWithDeadline().build())).isEmpty();
+  }
+
+  @Test
+  void jobGetsMachineWhereLongRunningWorkHasAllMachines() {
+    // Guards against counting CPUs that other arrays keep for hours as room for work with
+    // deadlines.
+    registerMachines(1);
+    fillMachineWithTasksOf(10_000);
+    assertThat(onDemandRequestsFor(arrayWithDeadline().build())).hasSize(1);
+  }
+
+  /** Fills the only machine with tasks, without a deadline, of this run time in seconds. */
+  private void fillMachineWithTasksOf(double estimateS) {
+    JobSpec running = JobSpecBuilder.array("j-0").tasks(4).estimateS(estimateS).build();
     scheduler.onJob(running, false, 4, 0.1, 0.1);
     SchedulerFixture.commitAll(scheduler, 100, 0.2);
     assertThat(SchedulerFixture.claimCount(scheduler, SchedulerFixture.machineName(0)))
         .isEqualTo(4);
-    assertThat(onDemandRequestsFor(arrayWithDeadline().build())).isEmpty();
   }
 
   @Test
