--- a/src/test/java/graderelay/scenario/RandomDayTest.java
+++ b/src/test/java/graderelay/scenario/RandomDayTest.java
@@ -43,6 +43,13 @@
     assertKeepsTheRules(seed, RandomDay::playLevels);
   }
 
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void everyJobRunsWhileTheCloudHasNoSpotMachines(long seed) {
+    // Guards against work that waits for spot machines for good.
+    assertKeepsTheRules(seed, RandomDay::playWithoutSpotMachines);
+  }
+
   private static void assertKeepsTheRules(
       long seed, BiFunction<Long, List<Fault>, Verdict> player) {
     List<Fault> faults = Fault.day(seed, RandomDay.DAY_S);
--- a/src/test/java/graderelay/sim/RandomDay.java
+++ b/src/test/java/graderelay/sim/RandomDay.java
@@ -25,6 +25,10 @@
 
   private static final int JOBS = 14;
 
+  private static final double MIN_DEADLINE_S = 5;
+  private static final double MAX_DEADLINE_S = 90;
+  private static final double MAX_CLOUD_OUTAGE_S = 40;
+
   /**
    * Refusals for size by which controllers may find out that the limits are lower, on days on which
    * task batches from before do not fit them: some for each controller that leads, and for each
@@ -45,6 +49,9 @@
   private final Rollout rollout;
   private int mostTooLarge;
 
+  /** Draws the arrays' deadlines and zones; null on days on which they have none. */
+  private SplittableRandom deadlineRandom;
+
   /** No job depends on others. */
   private boolean plainJobs;
 
@@ -117,6 +124,31 @@
     return verdict;
   }
 
+  /**
+   * A day on which arrays have deadlines, some of which can't be met, while the cloud has no spot
+   * machines, or none at first, and is out for a while.
+   */
+  public static Verdict playWithoutSpotMachines(long seed, List<Fault> faults) {
+    SimWorld world = new SimWorld(seed, shape(seed), SimWorld.SAME);
+    RandomDay day = new RandomDay(world, seed, false);
+    day.deadlineRandom = new SplittableRandom(seed * 13 + 5);
+    day.users();
+    day.drawCloudTroubles(new SplittableRandom(seed * 11 + 9));
+    new FaultInjector(world).schedule(faults);
+    return day.run();
+  }
+
+  private void drawCloudTroubles(SplittableRandom r) {
+    world.cloud.spotCapacity = 0;
+    if (r.nextInt(3) == 0) {
+      world.loop.after(r.nextDouble() * DAY_S, () -> world.cloud.spotCapacity = Integer.MAX_VALUE);
+    }
+    double outageAt = r.nextDouble() * (DAY_S - MAX_CLOUD_OUTAGE_S);
+    world.loop.after(outageAt, () -> world.cloud.outage = true);
+    double outageS = r.nextDouble() * MAX_CLOUD_OUTAGE_S;
+    world.loop.after(outageAt + outageS, () -> world.cloud.outage = false);
+  }
+
   /**
    * Deployments like the users' own: few machines whose workers send heartbeats often, or many more
    * whose heartbeats lie as far apart as a worker waits for an answer, in one to three zones.
@@ -179,6 +211,7 @@
               random.nextInt(3) == 0);
       job.guest = !service && random.nextInt(4) == 0;
       job.failing = !service && random.nextInt(8) == 0;
+      drawDeadlineAndZone(job);
       int controller = random.nextInt(world.size);
       if (!service && random.nextInt(3) == 0) {
         job.dependencies = plainJobs ? List.of() : needs();
@@ -196,6 +229,17 @@
     }
   }
 
+  private void drawDeadlineAndZone(SimJob job) {
+    if (deadlineRandom == null || job.service()) {
+      return;
+    }
+    job.deadlineS = deadlineRandom.nextDouble(MIN_DEADLINE_S, MAX_DEADLINE_S);
+    if (deadlineRandom.nextInt(3) == 0 && !job.spread) {
+      List<String> zones = world.zones();
+      job.zone = zones.get(deadlineRandom.nextInt(zones.size()));
+    }
+  }
+
   /** One or two of the earlier arrays. */
   private List<SimJob> needs() {
     List<SimJob> some = new ArrayList<>();
--- a/src/test/java/graderelay/sim/SimCloud.java
+++ b/src/test/java/graderelay/sim/SimCloud.java
@@ -34,6 +34,12 @@
   private int next = 1;
   public int capacity = 8;
 
+  /** The most spot machines that there may be at a time, within that. */
+  public int spotCapacity = Integer.MAX_VALUE;
+
+  /** Every request is answered with 503. */
+  public boolean outage;
+
   /** Times its usual time that a machine scaled out now takes to boot. */
   public double bootFactor = 1;
 
@@ -68,11 +74,15 @@
 
   @Override
   public void handle(Exchange e) {
+    if (outage) {
+      refuse(e, "trouble");
+      return;
+    }
     ObjectNode out = Json.object();
     switch (e.path()) {
       case "/machine_types" -> {
         if (noTypes) {
-          e.responder().accept(Response.json(503, Json.errorBody("trouble")));
+          refuse(e, "trouble");
           return;
         }
         ArrayNode a = out.putArray("rigs");
@@ -102,6 +112,10 @@
     e.responder().accept(Response.json(200, Json.write(out)));
   }
 
+  private static void refuse(Exchange e, String error) {
+    e.responder().accept(Response.json(503, Json.errorBody(error)));
+  }
+
   private void page(ObjectNode out, Map<String, String> query) {
     List<ObjectNode> listed = List.of();
     for (Snapshot s : snapshots) {
@@ -128,12 +142,12 @@
     if (names == null) {
       names = Json.array();
       int want = n.path("how_many").asInt();
-      for (int i = 0; i < want && machines.size() < capacity; i++) {
-        names.add(
-            add(n.path("rig").asText(), n.path("yard").asText(), n.path("borrowed").asBoolean()));
+      boolean spot = n.path("borrowed").asBoolean();
+      for (int i = 0; i < want && hasCapacity(spot); i++) {
+        names.add(add(n.path("rig").asText(), n.path("yard").asText(), spot));
       }
       if (names.isEmpty()) {
-        e.responder().accept(Response.json(503, Json.errorBody("no capacity")));
+        refuse(e, "no capacity");
         return;
       }
       scaleOuts.put(name, names);
@@ -143,6 +157,11 @@
     e.responder().accept(Response.json(200, Json.write(out)));
   }
 
+  private boolean hasCapacity(boolean spot) {
+    return machines.size() < capacity
+        && (!spot || machines.values().stream().filter(Machine::spot).count() < spotCapacity);
+  }
+
   private String add(String type, String zone, boolean spot) {
     String m = String.format("n-%06d", next++);
     machines.put(m, new Machine(m, type, zone, spot, world.loop.now()));
--- a/src/test/java/graderelay/sim/SimJob.java
+++ b/src/test/java/graderelay/sim/SimJob.java
@@ -26,6 +26,9 @@
   /** The zone that its tasks have to be in, or null. */
   public String zone;
 
+  /** Seconds from its submission within which it should be done, or null. */
+  public Double deadlineS;
+
   /** Jobs that have to be done before it starts. */
   public List<SimJob> dependencies = List.of();
 
--- a/src/test/java/graderelay/sim/SimUsers.java
+++ b/src/test/java/graderelay/sim/SimUsers.java
@@ -43,7 +43,8 @@
         .put("pull_gb", 1.0)
         .put("one_zone", false)
         .put("apart", job.spread)
-        .put("borrowed", job.spot);
+        .put("borrowed", job.spot)
+        .put("ship_s", job.deadlineS);
     if (!job.dependencies.isEmpty()) {
       job.dependencies.forEach(need -> body.withArray("awaits").add(need.id));
     }
--- a/src/test/java/graderelay/sim/SimWorld.java
+++ b/src/test/java/graderelay/sim/SimWorld.java
@@ -95,6 +95,11 @@
     this(seed, shape, SAME);
   }
 
+  /** Returns the names of the zones. */
+  public List<String> zones() {
+    return shape.zones();
+  }
+
   /** Creates a world whose store will allow only {@code next} from some moment on. */
   public SimWorld(long seed, WorldShape shape, Settings.StoreLimits next) {
     this(seed, shape, next, false);
