--- a/src/test/java/graderelay/core/JobsWithoutMachineTest.java
+++ b/src/test/java/graderelay/core/JobsWithoutMachineTest.java
@@ -110,6 +110,29 @@
     assertThat(onDemandRequests(5)).isNotEmpty();
   }
 
+  @Test
+  void serviceBoundToZoneOfItsReplicasGetsMachineThere() {
+    // Guards against counting room in a zone that the job's other tasks rule out.
+    registerMachines(1);
+    JobSpec service = JobSpecBuilder.service("j-1").tasks(2).taskSize(4).oneZone().build();
+    scheduler.onJob(service, false, 4, 0.1, 0.1);
+    SchedulerFixture.commitAll(scheduler, 100, 0.2);
+    assertThat(SchedulerFixture.claimCount(scheduler, SchedulerFixture.machineName(0)))
+        .isEqualTo(1);
+    registerMachineInZoneB("n-000099");
+    assertThat(onDemandRequests(1))
+        .singleElement()
+        .satisfies(request -> assertThat(request.zone()).isEqualTo("a"));
+  }
+
+  private void registerMachineInZoneB(String name) {
+    Heartbeat heartbeat =
+        new Heartbeat(
+            name, name + ":1", "small", "b", false, 1, 1, scheduler.term(), null, List.of());
+    scheduler.onHeartbeat(heartbeat, 0.3);
+    scheduler.onHeartbeatResponse(name, 0.3);
+  }
+
   @Test
   void suspectJobGetsOneMachineWhenNoneIsLeft() {
     // Guards against a job that failed on several machines and is never tried on another one.
