--- a/src/test/java/graderelay/sim/SimCloud.java
+++ b/src/test/java/graderelay/sim/SimCloud.java
@@ -16,12 +16,13 @@
 /** The cloud, written from the published protocol: two types, a late list, names that count up. */
 public final class SimCloud implements Exchange.Handler {
   private static final double BOOT_S = 5;
-  private static final double LAG_S = 3;
+  private static final double LIST_LAG_S = 3;
+  private static final int MAX_SNAPSHOTS = 20;
 
   /** One machine type. */
   public record Type(String name, double cpus, double memGb, double price, double spotPrice) {}
 
-  private record Machine(String name, String type, String zone, boolean spot, double at) {}
+  private record Machine(String name, String type, String zone, boolean spot, double requestedAt) {}
 
   private record Snapshot(double at, List<ObjectNode> machines) {}
 
@@ -31,7 +32,7 @@
   private final Map<String, ArrayNode> scaleOuts = new HashMap<>();
   private final TreeMap<String, Machine> machines = new TreeMap<>();
   private final List<Snapshot> snapshots = new ArrayList<>();
-  private int next = 1;
+  private int nextNumber = 1;
   public int capacity = 8;
 
   /** The most spot machines that there may be at a time, within that. */
@@ -52,77 +53,96 @@
     this.world = world;
     this.types = types;
     this.zones = zones;
-    snap();
+    takeSnapshot();
   }
 
-  private void snap() {
+  /** Takes a snapshot of all machines every second, for late lists. */
+  private void takeSnapshot() {
     List<ObjectNode> list = new ArrayList<>();
     for (Machine machine : machines.values()) {
-      ObjectNode n =
-          Json.object().put("ref", machine.name()).put("address", machine.name() + ":9000");
-      n.put("rig", machine.type()).put("yard", machine.zone()).put("borrowed", machine.spot());
-      n.put("stage", world.workers.containsKey(machine.name()) ? "running" : "booting");
-      n.put("age_s", world.loop.now() - machine.at());
-      list.add(n);
+      list.add(describe(machine));
     }
     snapshots.add(new Snapshot(world.loop.now(), list));
-    if (snapshots.size() > 20) {
+    if (snapshots.size() > MAX_SNAPSHOTS) {
       snapshots.remove(0);
     }
-    world.loop.after(1, this::snap);
+    world.loop.after(1, this::takeSnapshot);
+  }
+
+  private ObjectNode describe(Machine machine) {
+    return Json.object()
+        .put("ref", machine.name())
+        .put("address", machine.name() + ":9000")
+        .put("rig", machine.type())
+        .put("yard", machine.zone())
+        .put("borrowed", machine.spot())
+        .put("stage", world.workers.containsKey(machine.name()) ? "running" : "booting")
+        .put("age_s", world.loop.now() - machine.requestedAt());
   }
 
   @Override
-  public void handle(Exchange e) {
+  public void handle(Exchange exchange) {
     if (outage) {
-      refuse(e, "trouble");
+      refuse(exchange, "trouble");
       return;
     }
-    ObjectNode out = Json.object();
-    switch (e.path()) {
-      case "/machine_types" -> {
-        if (noTypes) {
-          refuse(e, "trouble");
-          return;
-        }
-        ArrayNode a = out.putArray("rigs");
-        for (Type t : types) {
-          ObjectNode n = a.addObject().put("sku", t.name()).put("cpus", t.cpus());
-          n.put("cards", 0).put("mem_gb", t.memGb()).put("cache_gb", 10).put("pull_gb_per_s", 1);
-          n.put("price", t.price()).put("market_price", t.spotPrice()).put("ready_s", BOOT_S);
-          ArrayNode z = n.putArray("yards");
-          zones.forEach(z::add);
-        }
-      }
+    switch (exchange.path()) {
+      case "/machine_types" -> listTypes(exchange);
       case "/machines" -> {
-        if (e.method().equals("GET")) {
-          page(out, QueryString.parse(e.query()));
+        if (exchange.method().equals("GET")) {
+          listMachines(exchange);
         } else {
-          scaleOut(e, Json.read(e.body()));
-          return;
+          scaleOut(exchange);
         }
       }
-      case "/machines/delete" -> {
-        for (JsonNode n : Json.read(e.body()).path("saws")) {
-          take(n.asText());
-        }
-      }
-      default -> throw new AssertionError(e.path());
+      case "/machines/delete" -> deleteMachines(exchange);
+      default -> throw new AssertionError(exchange.path());
     }
-    e.responder().accept(Response.json(200, Json.write(out)));
   }
 
-  private static void refuse(Exchange e, String error) {
-    e.responder().accept(Response.json(503, Json.errorBody(error)));
+  private void listTypes(Exchange exchange) {
+    if (noTypes) {
+      refuse(exchange, "trouble");
+      return;
+    }
+    ObjectNode body = Json.object();
+    ArrayNode list = body.putArray("rigs");
+    for (Type type : types) {
+      ObjectNode listed = list.addObject().put("sku", type.name()).put("cpus", type.cpus());
+      listed.put("cards", 0).put("mem_gb", type.memGb());
+      listed.put("cache_gb", 10).put("pull_gb_per_s", 1);
+      listed.put("price", type.price()).put("market_price", type.spotPrice());
+      listed.put("ready_s", BOOT_S);
+      zones.forEach(listed.putArray("yards")::add);
+    }
+    accept(exchange, body);
   }
 
-  private void page(ObjectNode out, Map<String, String> query) {
+  private void deleteMachines(Exchange exchange) {
+    for (JsonNode name : Json.read(exchange.body()).path("saws")) {
+      take(name.asText());
+    }
+    accept(exchange, Json.object());
+  }
+
+  private static void accept(Exchange exchange, ObjectNode body) {
+    exchange.responder().accept(Response.json(200, Json.write(body)));
+  }
+
+  private static void refuse(Exchange exchange, String error) {
+    exchange.responder().accept(Response.json(503, Json.errorBody(error)));
+  }
+
+  /** Answers with a page of a list that is as old as the list lags. */
+  private void listMachines(Exchange exchange) {
     List<ObjectNode> listed = List.of();
-    for (Snapshot s : snapshots) {
-      listed = s.at() <= world.loop.now() - LAG_S ? s.machines() : listed;
+    for (Snapshot snapshot : snapshots) {
+      listed = snapshot.at() <= world.loop.now() - LIST_LAG_S ? snapshot.machines() : listed;
     }
+    Map<String, String> query = QueryString.parse(exchange.query());
     int most = Integer.parseInt(query.get("most"));
-    ArrayNode page = out.putArray("saws");
+    ObjectNode body = Json.object();
+    ArrayNode page = body.putArray("saws");
     boolean truncated = false;
     for (ObjectNode machine : listed) {
       if (machine.path("ref").asText().compareTo(query.get("after")) > 0) {
@@ -133,28 +153,34 @@
         page.add(machine);
       }
     }
-    out.put("truncated", truncated);
+    accept(exchange, body.put("truncated", truncated));
   }
 
-  private void scaleOut(Exchange e, JsonNode n) {
-    String name = n.path("hire").asText();
-    ArrayNode names = scaleOuts.get(name);
+  private void scaleOut(Exchange exchange) {
+    JsonNode request = Json.read(exchange.body());
+    String requestName = request.path("hire").asText();
+    ArrayNode names = scaleOuts.get(requestName);
     if (names == null) {
-      names = Json.array();
-      int want = n.path("how_many").asInt();
-      boolean spot = n.path("borrowed").asBoolean();
-      for (int i = 0; i < want && hasCapacity(spot); i++) {
-        names.add(add(n.path("rig").asText(), n.path("yard").asText(), spot));
-      }
+      names = addMachines(request);
       if (names.isEmpty()) {
-        refuse(e, "no capacity");
+        refuse(exchange, "no capacity");
         return;
       }
-      scaleOuts.put(name, names);
+      scaleOuts.put(requestName, names);
+    }
+    ObjectNode body = Json.object();
+    body.set("saws", names);
+    accept(exchange, body);
+  }
+
+  private ArrayNode addMachines(JsonNode request) {
+    ArrayNode names = Json.array();
+    int count = request.path("how_many").asInt();
+    boolean spot = request.path("borrowed").asBoolean();
+    for (int i = 0; i < count && hasCapacity(spot); i++) {
+      names.add(add(request.path("rig").asText(), request.path("yard").asText(), spot));
     }
-    ObjectNode out = Json.object();
-    out.set("saws", names);
-    e.responder().accept(Response.json(200, Json.write(out)));
+    return names;
   }
 
   private boolean hasCapacity(boolean spot) {
@@ -163,27 +189,27 @@
   }
 
   private String add(String type, String zone, boolean spot) {
-    String m = String.format("n-%06d", next++);
-    machines.put(m, new Machine(m, type, zone, spot, world.loop.now()));
+    String name = String.format("n-%06d", nextNumber++);
+    machines.put(name, new Machine(name, type, zone, spot, world.loop.now()));
     if (bootFail > 0 && world.random.nextDouble() < bootFail) {
-      return m;
+      return name;
     }
     world.loop.after(
         BOOT_S * bootFactor,
         () -> {
-          if (machines.containsKey(m)) {
-            world.boot(m, type, zone, spot);
+          if (machines.containsKey(name)) {
+            world.boot(name, type, zone, spot);
           }
         });
-    return m;
+    return name;
   }
 
   /** The machine is gone, by deletion or because the cloud took it. */
   public void take(String name) {
     machines.remove(name);
-    SimWorker w = world.workers.remove(name);
-    if (w != null) {
-      w.kill();
+    SimWorker worker = world.workers.remove(name);
+    if (worker != null) {
+      worker.kill();
     }
   }
 
