--- a/src/test/java/graderelay/core/ScaleOutForDeadlinesTest.java
+++ b/src/test/java/graderelay/core/ScaleOutForDeadlinesTest.java
@@ -55,6 +55,11 @@
         .allMatch(action -> ((Action.ScaleOut) action).spot());
   }
 
+  /** Twenty tasks with this run time, in seconds, and a deadline of 30 s. */
+  private static JobSpec arrayOfTasks(double estimateS) {
+    return JobSpecBuilder.array("j-1").tasks(20).estimateS(estimateS).deadlineS(30.0).build();
+  }
+
   /**
    * Number of on-demand machines requested for twenty tasks of 10 s while the cloud has no spot
    * machines.
@@ -71,11 +76,6 @@
         submittedAt);
   }
 
-  /** Twenty tasks with this run time, in seconds, and a deadline of 30 s. */
-  private static JobSpec arrayOfTasks(double estimateS) {
-    return JobSpecBuilder.array("j-1").tasks(20).estimateS(estimateS).deadlineS(30.0).build();
-  }
-
   /** Number of on-demand machines requested for the job in three plans, without spot machines. */
   private static int onDemandMachines(
       Map<String, List<Double>> startObjectivesS, JobSpec job, double submittedAt) {
--- a/src/test/java/graderelay/sim/SimWorld.java
+++ b/src/test/java/graderelay/sim/SimWorld.java
@@ -95,11 +95,6 @@
     this(seed, shape, SAME);
   }
 
-  /** Returns the names of the zones. */
-  public List<String> zones() {
-    return shape.zones();
-  }
-
   /** Creates a world whose store will allow only {@code next} from some moment on. */
   public SimWorld(long seed, WorldShape shape, Settings.StoreLimits next) {
     this(seed, shape, next, false);
@@ -139,6 +134,11 @@
     check();
   }
 
+  /** Returns the names of the zones. */
+  public List<String> zones() {
+    return shape.zones();
+  }
+
   /** A world with so many controllers. */
   public static SimWorld of(long seed, int size) {
     return new SimWorld(seed, WorldShape.of(size));
