Fleet plans examine full machines once for each shape of task; cheaper log line

Jobs that no longer find their team's limit used up by tasks without a machine each examine all machines with room for some task; String.format and streams load classes in the leader's first seconds.

Change: a plan remembers the shapes of tasks that no machine takes any more, and skips the search for the next jobs of that shape until a machine is added.

Tests of the core: all pass.

--- a/src/main/java/graderelay/core/Deadlines.java
+++ b/src/main/java/graderelay/core/Deadlines.java
@@ -6,9 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalDouble;
 import java.util.Set;
-import java.util.stream.DoubleStream;
 
 /**
  * Computes what the fleet needs to meet deadlines: the CPUs with which all arrays are done in time
@@ -191,23 +189,28 @@
       }
       return canBeDoneBy(job.dueAt(), estimate, now) ? job.dueAt() : soon;
     }
-    return nextTarget(job, estimate, now).orElse(soon);
+    double next = nextTarget(job, estimate, now);
+    return next < Double.POSITIVE_INFINITY ? next : soon;
   }
 
-  /** The next objective or deadline of the job that can still be met. */
-  private OptionalDouble nextTarget(Job job, double estimate, double now) {
+  /** The next objective or deadline of the job that can still be met; infinite without one. */
+  private double nextTarget(Job job, double estimate, double now) {
     String jobClass = job.spec.jobClass();
     Double startS = cluster.policy.startObjectivesS().get(jobClass);
     Double completionS = cluster.policy.completionObjectivesS().get(jobClass);
     double deadline = job.dueAt();
-    return DoubleStream.of(
-            startS == null || job.openTasks.isEmpty()
-                ? deadline
-                : job.eligibleSince + startS + estimate,
-            completionS == null ? deadline : job.eligibleSince + completionS,
-            deadline)
-        .filter(end -> canBeDoneBy(end, estimate, now))
-        .min();
+    double[] targetEnds = {
+      startS == null || job.openTasks.isEmpty() ? deadline : job.eligibleSince + startS + estimate,
+      completionS == null ? deadline : job.eligibleSince + completionS,
+      deadline
+    };
+    double next = Double.POSITIVE_INFINITY;
+    for (double end : targetEnds) {
+      if (canBeDoneBy(end, estimate, now)) {
+        next = Math.min(next, end);
+      }
+    }
+    return next;
   }
 
   /** True if a task that starts now would be done by that time, with a margin. */
--- a/src/main/java/graderelay/core/ScaleOutPacking.java
+++ b/src/main/java/graderelay/core/ScaleOutPacking.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -29,6 +30,19 @@
     }
   }
 
+  /**
+   * What decides which bins take tasks of a group, beside limits by zone.
+   *
+   * @param resources what one task needs
+   */
+  private record TaskShape(
+      Resources resources, List<String> types, String zone, boolean spot, boolean service) {
+    private static TaskShape of(JobSpec spec) {
+      return new TaskShape(
+          Resources.of(spec), spec.types(), spec.zone(), spec.spot(), spec.isService());
+    }
+  }
+
   private final ClusterState cluster;
   private final Deadlines deadlines;
   private final PoolChooser poolChooser;
@@ -40,6 +54,12 @@
   /** Those of them on which the smallest task of the plan may fit. */
   private final List<PackingBin> openBins = new ArrayList<>();
 
+  /**
+   * Shapes of tasks that no open bin takes any more. On a busy fleet most waiting jobs share a few
+   * shapes, and each job would otherwise examine all bins.
+   */
+  private final Set<TaskShape> fullShapes = new HashSet<>();
+
   private final UnmetDemand unmetDemand;
   private final double now;
 
@@ -190,6 +210,9 @@
   /** Packs tasks into existing bins and returns the number of tasks left over. */
   private int fillBins(TaskGroup group, Set<Machine> spareCapacityMachines) {
     int tasksLeft = group.tasks();
+    if (fullShapes.contains(TaskShape.of(group.spec()))) {
+      return tasksLeft;
+    }
     for (boolean spot : SPOT_FIRST) {
       for (PackingBin bin : openBins) {
         if (tasksLeft <= 0) {
@@ -205,6 +228,9 @@
         tasksLeft -= packed;
       }
     }
+    if (tasksLeft > 0 && group.zones().isUnlimited()) {
+      fullShapes.add(TaskShape.of(group.spec()));
+    }
     return tasksLeft;
   }
 
@@ -254,6 +280,7 @@
       tasksLeft -= packInto(bin, group, tasksLeft);
       bins.add(bin);
       openBins.add(bin);
+      fullShapes.clear();
       if (machinesToRequest.merge(pool, 1, Integer::sum)
           >= ScaleOutPlanner.MAX_MACHINES_PER_REQUEST) {
         return tasksLeft;
--- a/src/main/java/graderelay/core/UnmetDemand.java
+++ b/src/main/java/graderelay/core/UnmetDemand.java
@@ -2,7 +2,6 @@
 
 import java.util.EnumMap;
 import java.util.LinkedHashMap;
-import java.util.Locale;
 import java.util.Map;
 
 /**
@@ -88,17 +87,20 @@
 
   private void log(Job job, JobDemand demand, double neededCpus, double availableCpus, double now) {
     cluster.log(
-        String.format(
-            Locale.ROOT,
-            "no machine is requested for %d tasks of %s since %.0f s: %s;"
-                + " due in %.0f s, deadlines need %.1f CPUs of %.1f available",
-            demand.tasks,
-            job.spec.id(),
-            now - demand.since,
-            demand.cause.text,
-            job.dueAt() - now,
-            neededCpus,
-            availableCpus));
+        "no machine is requested for "
+            + demand.tasks
+            + " tasks of "
+            + job.spec.id()
+            + " since "
+            + Math.round(now - demand.since)
+            + " s: "
+            + demand.cause.text
+            + (job.hasDueTime() ? "; due in " + Math.round(job.dueAt() - now) + " s" : "")
+            + "; deadlines need "
+            + Math.round(neededCpus)
+            + " CPUs of "
+            + Math.round(availableCpus)
+            + " available");
   }
 
   /** Number of tasks for which the last plan requested no machine, by each cause. */
--- a/src/main/java/graderelay/core/ZoneTaskLimit.java
+++ b/src/main/java/graderelay/core/ZoneTaskLimit.java
@@ -28,6 +28,11 @@
     return Math.max(0, maxPerZone - tasksByZone.getOrDefault(zone, 0));
   }
 
+  /** True if every zone may take any number of tasks. */
+  boolean isUnlimited() {
+    return boundZone == null && maxPerZone == Integer.MAX_VALUE;
+  }
+
   /** Counts tasks that are assigned to the zone. */
   void add(String zone, int tasks) {
     tasksByZone.merge(zone, tasks, Integer::sum);
