Log line and metric of a leader without a scheduler

A leader without a scheduler says so every 5 s, with its term, whether the records are loaded and whether the machine types are known; graderelay_leader_without_scheduler_seconds counts the time, and 'graderelay status' shows whether the contacted controller schedules. No other behaviour changes.

--- a/src/main/java/graderelay/api/FleetViews.java
+++ b/src/main/java/graderelay/api/FleetViews.java
@@ -78,6 +78,7 @@
         .put("ready", ready.getAsBoolean());
     body.put("owner", leader == null ? null : leader.member());
     body.put("term", leader == null ? cache.term() : leader.term());
+    body.put("scheduling", scheduler.get() != null);
     body.put("state_failing_s", state.health().failingForS());
     int liveJobs = cache.jobs().size();
     int runningJobs = 0;
--- a/src/main/java/graderelay/service/ControllerNode.java
+++ b/src/main/java/graderelay/service/ControllerNode.java
@@ -86,6 +86,10 @@
     components.metrics.registerTokenBucket("cloud", components.cloudClient.tokenBucket());
     components.metrics.addSampleSupplier(components.quotaMonitor::samples);
     components.metrics.start();
+    components.metrics.registerGauge(
+        "graderelay.leader.without.scheduler.seconds",
+        Tags.empty(),
+        m -> components.leaderLifecycle.withoutSchedulerS());
     components.metrics.registerGauge(
         "graderelay.feature.level",
         Tags.of("what", "finalized"),
@@ -118,6 +122,7 @@
       return;
     }
     components.leadership.tick();
+    components.leaderLifecycle.tick();
     tickTimer = components.loop.schedule(TICK_INTERVAL_S, this::tick);
   }
 
--- a/src/main/java/graderelay/service/LeaderLifecycle.java
+++ b/src/main/java/graderelay/service/LeaderLifecycle.java
@@ -17,6 +17,8 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Starts a {@link LeaderTerm} once this controller has been elected and its cache contains all
@@ -27,6 +29,11 @@
   /** Seconds between checks of an elected controller whether its cache has loaded the records. */
   private static final double RECORDS_CHECK_INTERVAL_S = 0.02;
 
+  /** Seconds for which a leader has no scheduler before this is logged, and then again. */
+  private static final double LOG_INTERVAL_S = 5;
+
+  private static final Logger LOG = LoggerFactory.getLogger("owner");
+
   private final Loop loop;
   private final Cache cache;
   private final BooleanSupplier isLeader;
@@ -38,6 +45,11 @@
   private final Supplier<List<MachineType>> machineTypes;
   private final Supplier<LeaderTerm> termFactory;
   private LeaderTerm currentTerm;
+
+  /** When this controller was last elected, in seconds of the event loop's clock. */
+  private double electedAt;
+
+  private double loggedAt;
   private boolean closed;
 
   /**
@@ -82,6 +94,27 @@
     return currentTerm == null ? null : currentTerm.core();
   }
 
+  /** Seconds for which this controller has led without a scheduler; 0 on a follower. */
+  double withoutSchedulerS() {
+    return isLeader.getAsBoolean() && currentTerm == null ? loop.now() - electedAt : 0;
+  }
+
+  /** Logs what a leader without a scheduler waits for; to be called periodically. */
+  void tick() {
+    double withoutSchedulerS = withoutSchedulerS();
+    if (withoutSchedulerS > LOG_INTERVAL_S && loop.now() - loggedAt > LOG_INTERVAL_S) {
+      loggedAt = loop.now();
+      LOG.warn(
+          "{} leads in term {} without a scheduler for {} s; records loaded: {}, machine types"
+              + " known: {}",
+          member,
+          termNumber.getAsLong(),
+          Math.round(withoutSchedulerS),
+          cache.isLoaded(),
+          machineTypes.get() != null);
+    }
+  }
+
   /** Runs the action on the current leader term, if there is one. */
   void ifLeading(Consumer<LeaderTerm> action) {
     if (currentTerm != null) {
@@ -153,7 +186,8 @@
   @Override
   public void onStartedLeading(long term) {
     metrics.count("graderelay.takeovers", "member", member);
-    startTerm(term, loop.now());
+    electedAt = loop.now();
+    startTerm(term, electedAt);
   }
 
   /**
