A raise of the term before the leader term has begun doesn't lose its start

Cause: LeaderLifecycle asked at each step of a start whether the present term is still the one that was won. A change of the feature level, 30 s after the start, raises the term of the same leader, so the start was taken for one of an earlier leadership and given up; onTermRaised starts nothing.

Change: the phases follower, starting, scheduling and closed are types (LeaderPhase). A start belongs to its won election by identity and ends only with the leadership or the process; a raise changes no phase.

--- a/src/main/java/graderelay/service/ControllerComponents.java
+++ b/src/main/java/graderelay/service/ControllerComponents.java
@@ -137,7 +137,6 @@
     return new LeaderLifecycle(
         loop,
         cache,
-        this::isLeader,
         this::term,
         this::mayActAsLeader,
         cancellations,
--- a/src/main/java/graderelay/service/LeaderLifecycle.java
+++ b/src/main/java/graderelay/service/LeaderLifecycle.java
@@ -23,7 +23,7 @@
 /**
  * Starts a {@link LeaderTerm} once this controller has been elected and its cache contains all
  * records committed before the election, and closes the leader term when leadership is lost. A
- * follower has no leader term.
+ * follower has no leader term. The phases are those of {@link LeaderPhase}.
  */
 final class LeaderLifecycle implements Leadership.Listener {
   /** Seconds between checks of an elected controller whether its cache has loaded the records. */
@@ -36,7 +36,6 @@
 
   private final Loop loop;
   private final Cache cache;
-  private final BooleanSupplier isLeader;
   private final BooleanSupplier mayActAsLeader;
   private final Cancellations cancellations;
   private final LongSupplier termNumber;
@@ -44,18 +43,12 @@
   private final String member;
   private final Supplier<List<MachineType>> machineTypes;
   private final Supplier<LeaderTerm> termFactory;
-  private LeaderTerm currentTerm;
-
-  /** When this controller was last elected, in seconds of the event loop's clock. */
-  private double electedAt;
-
+  private LeaderPhase phase = new LeaderPhase.Follower();
   private double loggedAt;
-  private boolean closed;
 
   /**
    * Creates the lifecycle of a controller that starts as a follower.
    *
-   * @param isLeader whether this controller is the leader
    * @param termNumber the term of this controller's current leadership, which is its fencing token
    * @param mayActAsLeader whether this controller may act as the leader
    * @param machineTypes the machine types of the cloud, null until it has listed them
@@ -64,7 +57,6 @@
   LeaderLifecycle(
       Loop loop,
       Cache cache,
-      BooleanSupplier isLeader,
       LongSupplier termNumber,
       BooleanSupplier mayActAsLeader,
       Cancellations cancellations,
@@ -74,7 +66,6 @@
       Supplier<LeaderTerm> termFactory) {
     this.loop = loop;
     this.cache = cache;
-    this.isLeader = isLeader;
     this.termNumber = termNumber;
     this.mayActAsLeader = mayActAsLeader;
     this.cancellations = cancellations;
@@ -86,17 +77,18 @@
 
   /** The current leader term, or null while there is none. */
   LeaderTerm currentTerm() {
-    return currentTerm;
+    return phase instanceof LeaderPhase.Scheduling scheduling ? scheduling.term() : null;
   }
 
   /** The scheduler core of the current leader term, or null while there is none. */
   Scheduler core() {
-    return currentTerm == null ? null : currentTerm.core();
+    LeaderTerm term = currentTerm();
+    return term == null ? null : term.core();
   }
 
   /** Seconds for which this controller has led without a scheduler; 0 on a follower. */
   double withoutSchedulerS() {
-    return isLeader.getAsBoolean() && currentTerm == null ? loop.now() - electedAt : 0;
+    return phase instanceof LeaderPhase.Starting start ? loop.now() - start.electedAt() : 0;
   }
 
   /** Logs what a leader without a scheduler waits for; to be called periodically. */
@@ -117,8 +109,9 @@
 
   /** Runs the action on the current leader term, if there is one. */
   void ifLeading(Consumer<LeaderTerm> action) {
-    if (currentTerm != null) {
-      action.accept(currentTerm);
+    LeaderTerm term = currentTerm();
+    if (term != null) {
+      action.accept(term);
     }
   }
 
@@ -130,9 +123,10 @@
     // A leader that is still loading the records renews worker leases without sending commands.
     // This is safe because it measures the leases from the start of its leader term, which is
     // later.
-    return currentTerm == null
+    LeaderTerm term = currentTerm();
+    return term == null
         ? Optional.of(new HeartbeatResponse(termNumber.getAsLong(), List.of()))
-        : currentTerm.onHeartbeat(heartbeat, receivingController);
+        : term.onHeartbeat(heartbeat, receivingController);
   }
 
   /**
@@ -140,7 +134,8 @@
    * duration of a grant from now on.
    */
   boolean mayGrantDelegation(String zone) {
-    return currentTerm == null || core().mayGrantDelegation(zone, loop.now());
+    Scheduler core = core();
+    return core == null || core.mayGrantDelegation(zone, loop.now());
   }
 
   /**
@@ -149,9 +144,10 @@
    * response contains the cancellations that this controller has learned of.
    */
   PeerResponse.DelegationResponse onDelegationRequest(PeerRequest.Delegation request) {
-    return currentTerm != null && mayActAsLeader.getAsBoolean()
+    LeaderTerm term = currentTerm();
+    return term != null && mayActAsLeader.getAsBoolean()
         ? new PeerResponse.DelegationResponse(
-            currentTerm.grantLeaseDelegation(request), cancellations.ownKnowledge())
+            term.grantLeaseDelegation(request), cancellations.ownKnowledge())
         : new PeerResponse.DelegationResponse(null, null);
   }
 
@@ -160,11 +156,8 @@
    * leader term.
    */
   boolean replaceAccount(String team) {
-    if (currentTerm == null) {
-      return false;
-    }
-    currentTerm.replaceAccount(team);
-    return true;
+    ifLeading(term -> term.replaceAccount(team));
+    return currentTerm() != null;
   }
 
   /**
@@ -177,46 +170,45 @@
 
   /** Closes the current leader term permanently when the process stops. */
   void close() {
-    closed = true;
-    if (currentTerm != null) {
-      currentTerm.close();
-    }
+    enter(new LeaderPhase.Closed());
   }
 
   @Override
   public void onStartedLeading(long term) {
     metrics.count("graderelay.takeovers", "member", member);
-    electedAt = loop.now();
-    startTerm(term, electedAt);
+    LeaderPhase.Starting start = new LeaderPhase.Starting(loop.now());
+    enter(start);
+    startTerm(start);
   }
 
   /**
    * Starts the leader term as soon as the cache contains all records committed before the election.
+   * Nothing but the end of this start stops that: a raise of the term leaves it as it is, since the
+   * leader term begins with the term that this controller has by then.
    */
-  private void startTerm(long term, double electedAt) {
+  private void startTerm(LeaderPhase.Starting start) {
+    if (phase != start) {
+      return;
+    }
     if (!cache.isLoaded()) {
-      if (isStillLeader(term)) {
-        loop.schedule(RECORDS_CHECK_INTERVAL_S, () -> startTerm(term, electedAt));
-      }
+      loop.schedule(RECORDS_CHECK_INTERVAL_S, () -> startTerm(start));
       return;
     }
-    cache.catchUp(
-        caughtUp -> {
-          if (!isStillLeader(term)) {
-            return;
-          }
-          if (!caughtUp || machineTypes.get() == null) {
-            loop.schedule(StateClient.RETRY_DELAY_S, () -> startTerm(term, electedAt));
-            return;
-          }
-          currentTerm = termFactory.get();
-          currentTerm.start();
-          metrics.recordDuration("graderelay.takeover", loop.now() - electedAt);
-        });
+    cache.catchUp(caughtUp -> onCaughtUp(start, caughtUp));
   }
 
-  private boolean isStillLeader(long term) {
-    return !closed && isLeader.getAsBoolean() && termNumber.getAsLong() == term;
+  private void onCaughtUp(LeaderPhase.Starting start, boolean caughtUp) {
+    if (phase != start) {
+      return;
+    }
+    if (!caughtUp || machineTypes.get() == null) {
+      loop.schedule(StateClient.RETRY_DELAY_S, () -> startTerm(start));
+      return;
+    }
+    LeaderTerm term = termFactory.get();
+    enter(new LeaderPhase.Scheduling(term));
+    term.start();
+    metrics.recordDuration("graderelay.takeover", loop.now() - start.electedAt());
   }
 
   @Override
@@ -226,9 +218,15 @@
 
   @Override
   public void onStoppedLeading(String reason) {
-    if (currentTerm != null) {
-      currentTerm.close();
-      currentTerm = null;
+    enter(new LeaderPhase.Follower());
+  }
+
+  /** Enters a phase and closes the leader term of the one before; nothing follows the last one. */
+  private void enter(LeaderPhase next) {
+    if (phase instanceof LeaderPhase.Closed) {
+      return;
     }
+    ifLeading(LeaderTerm::close);
+    phase = next;
   }
 }
