A leader schedules without waiting for the cloud's machine types

After a restart of all controllers while the cloud is out, the leader had no scheduler until the cloud answered: no finished task was counted, no cancelled job ended, and tasks that had exited stayed listed, for as long as the outage lasts. What needs the types (placing, scaling) asked for them anyway.

Change: the leader term starts as soon as the records are loaded and caught up, with or without the types; they are handed in when the cloud lists them, as every later list is. One line says so at the start.

LeaderStartTest.jobsEndAfterRestartOfAllWhileTheCloudIsOut failed before (the cancelled job was not cancelled 20 s later), and holds now.

--- a/src/main/java/graderelay/service/ControllerComponents.java
+++ b/src/main/java/graderelay/service/ControllerComponents.java
@@ -142,7 +142,6 @@
         cancellations,
         metrics,
         settings.member(),
-        this::currentMachineTypes,
         this::newTerm);
   }
 
--- a/src/main/java/graderelay/service/LeaderLifecycle.java
+++ b/src/main/java/graderelay/service/LeaderLifecycle.java
@@ -2,7 +2,6 @@
 
 import graderelay.core.Heartbeat;
 import graderelay.core.HeartbeatResponse;
-import graderelay.core.MachineType;
 import graderelay.core.Scheduler;
 import graderelay.net.Loop;
 import graderelay.state.Cache;
@@ -41,7 +40,6 @@
   private final LongSupplier termNumber;
   private final Metrics metrics;
   private final String member;
-  private final Supplier<List<MachineType>> machineTypes;
   private final Supplier<LeaderTerm> termFactory;
   private LeaderPhase phase = new LeaderPhase.Follower();
   private double loggedAt;
@@ -51,7 +49,6 @@
    *
    * @param termNumber the term of this controller's current leadership, which is its fencing token
    * @param mayActAsLeader whether this controller may act as the leader
-   * @param machineTypes the machine types of the cloud, null until it has listed them
    * @param termFactory creates a leader term from the current records and settings
    */
   LeaderLifecycle(
@@ -62,7 +59,6 @@
       Cancellations cancellations,
       Metrics metrics,
       String member,
-      Supplier<List<MachineType>> machineTypes,
       Supplier<LeaderTerm> termFactory) {
     this.loop = loop;
     this.cache = cache;
@@ -71,7 +67,6 @@
     this.cancellations = cancellations;
     this.metrics = metrics;
     this.member = member;
-    this.machineTypes = machineTypes;
     this.termFactory = termFactory;
   }
 
@@ -97,13 +92,11 @@
     if (withoutSchedulerS > LOG_INTERVAL_S && loop.now() - loggedAt > LOG_INTERVAL_S) {
       loggedAt = loop.now();
       LOG.warn(
-          "{} leads in term {} without a scheduler for {} s; records loaded: {}, machine types"
-              + " known: {}",
+          "{} leads in term {} without a scheduler for {} s; records loaded: {}",
           member,
           termNumber.getAsLong(),
           Math.round(withoutSchedulerS),
-          cache.isLoaded(),
-          machineTypes.get() != null);
+          cache.isLoaded());
     }
   }
 
@@ -201,7 +194,7 @@
     if (phase != start) {
       return;
     }
-    if (!caughtUp || machineTypes.get() == null) {
+    if (!caughtUp) {
       loop.schedule(StateClient.RETRY_DELAY_S, () -> startTerm(start));
       return;
     }
--- a/src/main/java/graderelay/service/LeaderTerm.java
+++ b/src/main/java/graderelay/service/LeaderTerm.java
@@ -59,7 +59,8 @@
    *
    * @param minimumLimits the lowest limits that the key-value store has, now or in the future
    * @param operatorSettings the operators' settings as currently stored
-   * @param machineTypes the machine types that the cloud has listed
+   * @param machineTypes the machine types that the cloud has listed, null until then: no task is
+   *     placed and no machine requested, but running tasks are looked after
    */
   LeaderTerm(
       LeaderServices services,
@@ -76,7 +77,11 @@
     this.electedTerm = leadership.term();
     final double startedAt = loop.now();
     this.core = new Scheduler(policy, electedTerm, leadership.incarnation(), random, loop.now());
-    core.onMachineTypes(machineTypes);
+    if (machineTypes == null) {
+      LOG.warn("the cloud has not listed its machine types yet: no task is placed until it has");
+    } else {
+      core.onMachineTypes(machineTypes);
+    }
     Cache cache = services.cache();
     this.hints = new FailoverHints(services.state(), cache, leadership, minimumLimits.valueBytes());
     this.recordFeed = new RecordFeed(loop, cache, core, hints, this::scheduleStep);
--- a/src/test/java/graderelay/state/LeaderStartTest.java
+++ b/src/test/java/graderelay/state/LeaderStartTest.java
@@ -143,4 +143,26 @@
     trouble.end(world);
     assertJobRuns(world, "j-000594");
   }
+
+  @Test
+  void jobsEndAfterRestartOfAllWhileTheCloudIsOut() {
+    // Guards against a leader that waits for the cloud's machine types before it does anything.
+    SimWorld world = new SimWorld(595, WorldShape.of(3));
+    world.loop.run(4);
+    SimJob cancelled = world.users.job("j-000001", 2, 1, 0, false);
+    SimJob ending = world.users.job("j-000002", 2, 1, 12, false);
+    world.users.submit(0, cancelled);
+    world.users.submit(1, ending);
+    world.loop.run(10);
+    assertThat(world.invariants.starts).isEqualTo(4);
+    Trouble.CLOUD_OUT.begin(world);
+    restartAll(world);
+    world.loop.run(RECOVERY_S);
+    world.users.cancel(2, cancelled);
+    world.loop.run(20);
+    assertThat(world.users.stage(0, cancelled.id)).isEqualTo("cancelled");
+    assertThat(world.users.stage(1, ending.id)).isEqualTo("done");
+    Trouble.CLOUD_OUT.end(world);
+    assertJobRuns(world, "j-000003");
+  }
 }
