A leader without a scheduler for 30 s gives up the lead to a controller that has the records

Nobody replaces a leader that renews its lease and answers heartbeats, so whatever keeps it from scheduling keeps jobs from running without end. One that can't load the records or catch up with them while the state service serves the others now resigns after 30 s, with a log line; not in an outage for all, since no other controller could do more and an election costs worker leases.

LeaderStartTest: a leader to which alone lists are refused gave way to nobody before (leaderThatCannotLoadTheRecordsGivesWayToOneThatCan failed), and does now. With the condition on outages taken out, leaderThatCannotCatchUpKeepsTheLeadInAnOutageOfTheStore fails.

--- a/src/main/java/graderelay/service/ControllerComponents.java
+++ b/src/main/java/graderelay/service/ControllerComponents.java
@@ -139,6 +139,8 @@
         cache,
         this::term,
         this::mayActAsLeader,
+        this::isStoreUnavailableToAll,
+        this::resign,
         cancellations,
         metrics,
         settings.member(),
@@ -264,6 +266,14 @@
     return leadership.mayActAsLeader();
   }
 
+  private boolean isStoreUnavailableToAll() {
+    return leadership.isStoreUnavailableToAll();
+  }
+
+  private void resign(String reason) {
+    leadership.resign(reason);
+  }
+
   private Scheduler core() {
     return leaderLifecycle.core();
   }
--- a/src/main/java/graderelay/service/LeaderLifecycle.java
+++ b/src/main/java/graderelay/service/LeaderLifecycle.java
@@ -31,11 +31,19 @@
   /** Seconds for which a leader has no scheduler before this is logged, and then again. */
   private static final double LOG_INTERVAL_S = 5;
 
+  /**
+   * Seconds after which a leader without a scheduler gives up the lead, since another controller
+   * may have the records. Until then it renews the workers' leases.
+   */
+  private static final double MAX_START_S = 30;
+
   private static final Logger LOG = LoggerFactory.getLogger("owner");
 
   private final Loop loop;
   private final Cache cache;
   private final BooleanSupplier mayActAsLeader;
+  private final BooleanSupplier isStoreUnavailableToAll;
+  private final Consumer<String> resign;
   private final Cancellations cancellations;
   private final LongSupplier termNumber;
   private final Metrics metrics;
@@ -49,6 +57,8 @@
    *
    * @param termNumber the term of this controller's current leadership, which is its fencing token
    * @param mayActAsLeader whether this controller may act as the leader
+   * @param isStoreUnavailableToAll whether no controller reaches the key-value store
+   * @param resign gives up the lead for the given reason
    * @param termFactory creates a leader term from the current records and settings
    */
   LeaderLifecycle(
@@ -56,6 +66,8 @@
       Cache cache,
       LongSupplier termNumber,
       BooleanSupplier mayActAsLeader,
+      BooleanSupplier isStoreUnavailableToAll,
+      Consumer<String> resign,
       Cancellations cancellations,
       Metrics metrics,
       String member,
@@ -64,6 +76,8 @@
     this.cache = cache;
     this.termNumber = termNumber;
     this.mayActAsLeader = mayActAsLeader;
+    this.isStoreUnavailableToAll = isStoreUnavailableToAll;
+    this.resign = resign;
     this.cancellations = cancellations;
     this.metrics = metrics;
     this.member = member;
@@ -86,9 +100,16 @@
     return phase instanceof LeaderPhase.Starting start ? loop.now() - start.electedAt() : 0;
   }
 
-  /** Logs what a leader without a scheduler waits for; to be called periodically. */
+  /**
+   * Logs what a leader without a scheduler waits for, and gives up the lead if that takes too long,
+   * unless no other controller reaches the key-value store either; to be called periodically.
+   */
   void tick() {
     double withoutSchedulerS = withoutSchedulerS();
+    if (withoutSchedulerS > MAX_START_S && !isStoreUnavailableToAll.getAsBoolean()) {
+      resign.accept("it has no scheduler since " + Math.round(withoutSchedulerS) + " s");
+      return;
+    }
     if (withoutSchedulerS > LOG_INTERVAL_S && loop.now() - loggedAt > LOG_INTERVAL_S) {
       loggedAt = loop.now();
       LOG.warn(
--- a/src/test/java/graderelay/sim/SimStore.java
+++ b/src/test/java/graderelay/sim/SimStore.java
@@ -140,11 +140,16 @@
 
   /** Handler for one controller, which may be refused alone. */
   public Exchange.Handler forNode(boolean[] refused) {
+    return forNode(refused, new boolean[1]);
+  }
+
+  /** Handler for one controller, which may be refused alone, or only its lists. */
+  public Exchange.Handler forNode(boolean[] refused, boolean[] listsRefused) {
     return e -> {
       if (e.path().equals("/watch")) {
         requests++;
         watches.open(e, refused); // Its open watches wait, as in an outage.
-      } else if (refused[0]) {
+      } else if (refused[0] || (listsRefused[0] && e.path().equals("/store"))) {
         e.responder().accept(Response.json(503, Json.errorBody("not now")));
       } else if (slowS > 0) {
         loop.schedule(slowS, () -> handle(e));
--- a/src/test/java/graderelay/sim/SimWorld.java
+++ b/src/test/java/graderelay/sim/SimWorld.java
@@ -66,6 +66,9 @@
   public final ControllerNode[] controllers;
   public final boolean[][] refused;
 
+  /** Controllers to which the store refuses lists alone. */
+  public final boolean[][] listsRefused;
+
   /** Which controllers start as the version in production, and not as the present one. */
   private final boolean[] production;
 
@@ -110,6 +113,7 @@
     options = new Options[size];
     Arrays.fill(options, Options.defaults());
     refused = new boolean[size][1];
+    listsRefused = new boolean[size][1];
     suspended = new ProcessSuspension[size];
     dead = new boolean[size][];
     apis = new String[size];
@@ -124,7 +128,7 @@
     cloud = new SimCloud(this, List.of(type), shape.zones());
     cloud.capacity = shape.machines();
     for (int i = 0; i < size; i++) {
-      net.listen("state" + i + ":1", "state", store.forNode(refused[i]));
+      net.listen("state" + i + ":1", "state", store.forNode(refused[i], listsRefused[i]));
     }
     net.listen("cloud:1", "cloud", cloud);
     users = new SimUsers(this, net.from("users", new boolean[] {false}));
--- a/src/test/java/graderelay/state/LeaderStartTest.java
+++ b/src/test/java/graderelay/state/LeaderStartTest.java
@@ -34,6 +34,9 @@
   /** Seconds after the end of an outage within which the leader schedules. */
   private static final double RECOVERY_S = 5;
 
+  /** Seconds after which a leader that can't begin has given up the lead. */
+  private static final double GIVE_UP_S = 35;
+
   /** Seconds after its submission within which a job has run. */
   private static final double RUN_S = 30;
 
@@ -165,4 +168,40 @@
     Trouble.CLOUD_OUT.end(world);
     assertJobRuns(world, "j-000003");
   }
+
+  @Test
+  void leaderThatCannotLoadTheRecordsGivesWayToOneThatCan() {
+    // Guards against a leader without a scheduler that nobody replaces.
+    SimWorld world = new SimWorld(596, WorldShape.of(3));
+    Trouble.STORE_REFUSES_LISTS.begin(world);
+    restartAll(world);
+    world.loop.run(RECOVERY_S);
+    int leader = world.leader();
+    world.listsRefused[leader][0] = true;
+    Trouble.STORE_REFUSES_LISTS.end(world);
+    world.loop.run(GIVE_UP_S);
+    assertThat(world.leader()).isNotNegative().isNotEqualTo(leader);
+    assertJobRuns(world, "j-000596");
+  }
+
+  @Test
+  void leaderThatCannotCatchUpKeepsTheLeadInAnOutageOfTheStore() {
+    // Guards against an election, which costs worker leases, that no controller could win.
+    SimWorld world = new SimWorld(597, WorldShape.of(3));
+    restartAll(world);
+    world.loop.run(RECOVERY_S);
+    int first = world.leader();
+    world.refused[first][0] = true;
+    while (world.leader() < 0 || world.leader() == first) {
+      world.loop.run(0.001);
+    }
+    world.refused[first][0] = false;
+    int leader = world.leader();
+    assertThat(world.controllers[leader].core()).isNull();
+    Trouble.STORE_OUT.begin(world);
+    world.loop.run(GIVE_UP_S);
+    assertThat(world.leader()).isEqualTo(leader);
+    Trouble.STORE_OUT.end(world);
+    assertJobRuns(world, "j-000597");
+  }
 }
