Typed wait reasons; what keeps a job from machines with room is shown and logged

WaitReason is typed: its cause is the tag of graderelay_waiting_jobs and names the event that ends the wait. PlacementRules names the rule that a machine breaks (PlacementObstacle); 'graderelay jobs JOB' shows the numbers of machines by obstacle, computed when it is asked, and one line is logged for a job that has waited 30 s beside room that it is kept from. No other behaviour changes.

--- a/src/main/java/graderelay/api/AdminApi.java
+++ b/src/main/java/graderelay/api/AdminApi.java
@@ -70,7 +70,7 @@
             scheduler,
             ready,
             settingsWrites::current);
-    this.jobViews = new JobViews(cache, scheduler);
+    this.jobViews = new JobViews(loop, cache, scheduler);
   }
 
   /** True if the path is {@code /admin} or below it. */
--- a/src/main/java/graderelay/api/JobViews.java
+++ b/src/main/java/graderelay/api/JobViews.java
@@ -5,6 +5,7 @@
 import graderelay.core.Scheduler;
 import graderelay.core.TaskBatchRecord;
 import graderelay.net.Exchange;
+import graderelay.net.Loop;
 import graderelay.state.Cache;
 import graderelay.state.CancellationResolver;
 import graderelay.state.JobEntry;
@@ -20,6 +21,7 @@
  * its DAG dependencies and its claims, on the leader only. Runs on the event loop.
  */
 final class JobViews {
+  private final Loop loop;
   private final Cache cache;
   private final Supplier<Scheduler> scheduler;
 
@@ -28,7 +30,8 @@
    *
    * @param scheduler the scheduler while this controller is the leader, else null
    */
-  JobViews(Cache cache, Supplier<Scheduler> scheduler) {
+  JobViews(Loop loop, Cache cache, Supplier<Scheduler> scheduler) {
+    this.loop = loop;
     this.cache = cache;
     this.scheduler = scheduler;
   }
@@ -76,12 +79,20 @@
     }
     ObjectNode body = describe(job);
     body.put("waits_because", scheduler.get().waitReason(id));
+    addWait(body, id);
     job.spec.dependencies().forEach(body.putArray("needs")::add);
     addDependents(body.putArray("needed_by"), id);
     addClaims(body.putArray("claims"), job);
     Replies.json(exchange, 200, body);
   }
 
+  private void addWait(ObjectNode body, String id) {
+    Scheduler.JobWait wait = scheduler.get().jobWait(id, loop.now());
+    if (wait != null) {
+      body.put("waits_until", wait.endedBy()).put("machines_excluded", wait.machines());
+    }
+  }
+
   private ObjectNode describe(JobEntry job) {
     TaskCounts counts = TaskCounts.of(job);
     boolean isStopping =
--- a/src/main/java/graderelay/core/AdminViews.java
+++ b/src/main/java/graderelay/core/AdminViews.java
@@ -3,6 +3,8 @@
 import graderelay.quota.Amount;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.TreeSet;
 
 /** Builds the administration API's views of machines, teams and jobs for {@link Scheduler}. */
@@ -77,6 +79,32 @@
     if (job != null && job.awaitsDependencies() && !job.cancelRequested) {
       return "it needs " + String.join(", ", new TreeSet<>(job.pendingDependencies));
     }
-    return job == null || !job.isWaiting() ? null : job.waitReason;
+    return job == null || !job.isWaiting() ? null : job.waitReason.text();
+  }
+
+  /** Describes the wait of the job's open tasks; null if it is unknown or none may be placed. */
+  Scheduler.JobWait jobWait(String jobId, double now) {
+    Job job = cluster.jobs.get(jobId);
+    if (job == null || !job.isWaiting()) {
+      return null;
+    }
+    return new Scheduler.JobWait(
+        job.waitReason.cause().label,
+        job.waitReason.cause().endedBy,
+        PlacementDiagnosis.of(cluster, new PlacementRules(cluster), job, now).toString());
+  }
+
+  /** Number of jobs with open tasks that may be placed, by the label of why they wait. */
+  Map<String, Integer> waitingJobsByCause() {
+    Map<String, Integer> jobsByCause = new TreeMap<>();
+    for (WaitReason.Cause cause : WaitReason.Cause.values()) {
+      jobsByCause.put(cause.label, 0);
+    }
+    for (Job job : cluster.jobs.values()) {
+      if (job.isWaiting()) {
+        jobsByCause.merge(job.waitReason.cause().label, 1, Integer::sum);
+      }
+    }
+    return jobsByCause;
   }
 }
--- a/src/main/java/graderelay/core/Job.java
+++ b/src/main/java/graderelay/core/Job.java
@@ -122,7 +122,10 @@
   // ---------------------------------------------------------------- placement
 
   /** Why the last placement round placed no task of it; for logs and the administration API. */
-  String waitReason = "new";
+  WaitReason waitReason = WaitReason.NEW;
+
+  /** When its wait was last logged, see {@link JobPlacer}. */
+  double waitLoggedAt = Double.NEGATIVE_INFINITY;
 
   /** {@link ClusterState#roomVersion} when a placement round last found no room for it. */
   long noRoomAtVersion = -1;
--- a/src/main/java/graderelay/core/JobPlacer.java
+++ b/src/main/java/graderelay/core/JobPlacer.java
@@ -8,6 +8,9 @@
  * failures. If a task can't be placed, the cause becomes the job's wait reason.
  */
 final class JobPlacer {
+  /** Seconds for which a job has found no room before what keeps it from machines is logged. */
+  private static final double LOG_WAIT_AFTER_S = 30;
+
   private final ClusterState cluster;
   private final RandomGenerator random;
   private final PlacementRules rules;
@@ -34,7 +37,7 @@
     if (quota.isAdmissionBlocked(job)) {
       return 0;
     }
-    String reason = skipReason(job, maxTasks, context.now());
+    WaitReason reason = skipReason(job, maxTasks, context.now());
     if (reason != null) {
       job.waitReason = reason;
       return 0;
@@ -43,20 +46,22 @@
   }
 
   /** The wait reason of a job in backoff after failures. */
-  private static String backoffReason(Job job) {
-    return job.suspect
-        ? "it fails on every machine (" + job.failedMachines.size() + "); tried again later"
-        : "backing off after failures";
+  private static WaitReason backoffReason(Job job) {
+    String text =
+        job.suspect
+            ? "it fails on every machine (" + job.failedMachines.size() + "); tried again later"
+            : "backing off after failures";
+    return new WaitReason(WaitReason.Cause.BACKOFF, text);
   }
 
   /** The wait reason of a job of which no task may be placed in this round, or null if some may. */
-  private String skipReason(Job job, int maxTasks, double now) {
+  private WaitReason skipReason(Job job, int maxTasks, double now) {
     if (maxTasks <= 0) {
       excludeUntilRoomIsFreed(job, now);
-      return "room is kept for work above it";
+      return WaitReason.RESERVED_ROOM;
     }
     if (job.claims.size() >= rules.maxConcurrentClaims(job)) {
-      return "a few of its tasks are tried first, since it may fail on every machine";
+      return WaitReason.TRIAL;
     }
     return null;
   }
@@ -123,11 +128,11 @@
         return false;
       }
       if (batch.inFlight) {
-        job.waitReason = "a change of its slice is being committed";
+        job.waitReason = WaitReason.COMMIT;
         return true;
       }
       if (batch.recordFullUntil > context.now()) {
-        job.waitReason = "its record is as large as the state service allows";
+        job.waitReason = WaitReason.RECORD_SIZE;
         return true;
       }
       return false;
@@ -150,7 +155,7 @@
       }
       if (!machine.hasImage(job.spec.image())
           && candidates.canMakeRoomOnMachineWithImage(context.usable(), context.now())) {
-        job.waitReason = "room is being made where its image is";
+        job.waitReason = WaitReason.IMAGE;
         return null;
       }
       return machine;
@@ -161,9 +166,27 @@
       if (withImageOnly) {
         return;
       }
-      job.waitReason =
-          context.usable().isEmpty() ? "no machine reports" : "no room on an allowed machine";
+      job.waitReason = context.usable().isEmpty() ? WaitReason.NO_MACHINE : WaitReason.NO_ROOM;
       excludeUntilRoomIsFreed(job, context.now());
+      logLongWait();
+    }
+
+    /** Logs a job that has waited long beside room that it is kept from; once for each wait. */
+    private void logLongWait() {
+      double now = context.now();
+      if (now - job.waitingSince < LOG_WAIT_AFTER_S || job.waitLoggedAt >= job.waitingSince) {
+        return;
+      }
+      job.waitLoggedAt = now;
+      PlacementDiagnosis diagnosis = PlacementDiagnosis.of(cluster, rules, job, now);
+      if (diagnosis.isKeptFromRoom()) {
+        cluster.log(
+            job.spec.id()
+                + " waits beside room for "
+                + Math.round(now - job.waitingSince)
+                + " s; machines: "
+                + diagnosis);
+      }
     }
 
     private void claim(int task, int batchIndex, Machine machine) {
@@ -182,7 +205,7 @@
         return true;
       }
       if (tasksPlaced >= maxTasks) {
-        job.waitReason = "slice cap of a round";
+        job.waitReason = WaitReason.ROUND_LIMIT;
         return true;
       }
       return false;
--- a/src/main/java/graderelay/core/JobRecordHandler.java
+++ b/src/main/java/graderelay/core/JobRecordHandler.java
@@ -115,7 +115,7 @@
     for (Job dependent : cluster.dependencies.onDone(id, Math.min(endedAt, now))) {
       dependent.eligibleSince = Math.max(dependent.acceptedAt, dependent.dependenciesEndedAt);
       dependent.waitingSince = now;
-      dependent.waitReason = "new";
+      dependent.waitReason = WaitReason.NEW;
       planner.onArrival(dependent.spec, dependent.eligibleSince);
       cluster.log(dependent.spec.id() + " may start: all jobs that it depends on are done");
     }
--- a/src/main/java/graderelay/core/PlacementRound.java
+++ b/src/main/java/graderelay/core/PlacementRound.java
@@ -165,7 +165,7 @@
         int unreservedTasks =
             reservations.maxUnreservedTasks(job, context.usable(), context.claims());
         if (changesLeft <= 0 && !service) {
-          job.waitReason = "changes of the state service are used up for the moment";
+          job.waitReason = WaitReason.WRITE_RATE;
           continue;
         }
         int maxTasks = Math.min(job.spec.batchCapacity(), unreservedTasks);
--- a/src/main/java/graderelay/core/PlacementRules.java
+++ b/src/main/java/graderelay/core/PlacementRules.java
@@ -16,12 +16,25 @@
 
   /** True if the machine meets the rules that do not depend on where the job's other tasks are. */
   boolean isAllowed(Job job, Machine machine) {
+    return obstacle(job, machine) == null;
+  }
+
+  /** The first rule of {@link #isAllowed} that the machine breaks, or null. */
+  PlacementObstacle obstacle(Job job, Machine machine) {
     JobSpec spec = job.spec;
-    return (spec.types() == null || spec.types().contains(machine.type))
-        && (spec.zone() == null || spec.zone().equals(machine.zone))
-        && (spec.spot() || !machine.spot)
-        && !machine.consolidating
-        && !isAvoided(job, machine);
+    if (spec.types() != null && !spec.types().contains(machine.type)) {
+      return PlacementObstacle.OTHER_TYPE;
+    }
+    if (spec.zone() != null && !spec.zone().equals(machine.zone)) {
+      return PlacementObstacle.OTHER_ZONE;
+    }
+    if (machine.spot && !spec.spot()) {
+      return PlacementObstacle.SPOT;
+    }
+    if (machine.consolidating) {
+      return PlacementObstacle.CONSOLIDATING;
+    }
+    return isAvoided(job, machine) ? PlacementObstacle.AVOIDED : null;
   }
 
   /**
--- a/src/main/java/graderelay/core/QuotaGate.java
+++ b/src/main/java/graderelay/core/QuotaGate.java
@@ -56,16 +56,18 @@
   }
 
   /** The wait reason of a job for which {@link #limitAllows} was false. */
-  String limitWaitReason(Job job) {
+  WaitReason limitWaitReason(Job job) {
     String team = job.spec.team();
     if (!cluster.admission.limitAllows(team, job.taskAmount)) {
-      return "a task needs "
-          + job.taskAmount
-          + ", which the stored limits of team "
-          + team
-          + " forbid";
+      return new WaitReason(
+          WaitReason.Cause.ADMISSION,
+          "a task needs "
+              + job.taskAmount
+              + ", which the stored limits of team "
+              + team
+              + " forbid");
     }
-    return "team " + team + " is at its limit";
+    return new WaitReason(WaitReason.Cause.TEAM_LIMIT, "team " + team + " is at its limit");
   }
 
   /** True if no task of the job's team may be claimed at the moment; sets the job's wait reason. */
@@ -77,7 +79,7 @@
     if (refusal.temporary()) {
       cluster.admission.requestSettling(job.spec.team());
     }
-    job.waitReason = refusal.reason();
+    job.waitReason = new WaitReason(WaitReason.Cause.ADMISSION, refusal.reason());
     return true;
   }
 }
--- a/src/main/java/graderelay/core/Scheduler.java
+++ b/src/main/java/graderelay/core/Scheduler.java
@@ -366,6 +366,25 @@
     return adminViews.waitReason(job);
   }
 
+  /**
+   * The wait of a job's open tasks.
+   *
+   * @param cause the label of why the last placement round placed none of them
+   * @param endedBy the event that ends the wait
+   * @param machines the numbers of machines that can't take a task of the job, by obstacle
+   */
+  public record JobWait(String cause, String endedBy, String machines) {}
+
+  /** Describes a job's wait; null if the job is unknown or none of its tasks may be placed. */
+  public JobWait jobWait(String job, double now) {
+    return adminViews.jobWait(job, now);
+  }
+
+  /** Number of waiting jobs by the label of why the last placement round placed no task of them. */
+  public Map<String, Integer> waitingJobsByCause() {
+    return adminViews.waitingJobsByCause();
+  }
+
   /** Applies the current settings of which machines operators cordon or drain. */
   public void onCordons(Set<String> cordoned, Set<String> drained, double now) {
     machineEvents.onCordons(cordoned, drained, now);
--- a/src/main/java/graderelay/service/Metrics.java
+++ b/src/main/java/graderelay/service/Metrics.java
@@ -140,6 +140,7 @@
     if (core != null) {
       updateMachineGauges(core);
       updateUnmetDemandGauges(core);
+      updateWaitingJobGauges(core);
     }
     return registry.scrape();
   }
@@ -191,6 +192,15 @@
             (cause, tasks) -> setGauge("graderelay.demand.unmet", Tags.of("cause", cause), tasks));
   }
 
+  /**
+   * Reports the waiting jobs by why the leader's last placement round placed none of their tasks.
+   */
+  private void updateWaitingJobGauges(Scheduler core) {
+    core.waitingJobsByCause()
+        .forEach(
+            (cause, jobs) -> setGauge("graderelay.waiting.jobs", Tags.of("cause", cause), jobs));
+  }
+
   /**
    * Sets a gauge to a value. The gauge is registered once and reads its value from an array cell,
    * which is reused.
