A job avoids a machine where it failed for a while, not for good

Cause: PlacementRules.isAvoided had no end. Job.failedMachines is cleared only when the machine turns out to be faulty or the job suspect, for which one failure is not enough.

The numbers by which jobs and machines are told apart (suspect, faulty) count as before.

--- a/src/main/java/graderelay/core/CandidateMachines.java
+++ b/src/main/java/graderelay/core/CandidateMachines.java
@@ -36,6 +36,7 @@
    *
    * @param withRoom the machines that may have room
    * @param withImageOnly whether to use only machines that have the image or are fetching it
+   * @param now seconds on the leader's clock
    */
   CandidateMachines(
       ClusterState cluster,
@@ -43,7 +44,8 @@
       PlacementRules rules,
       Job job,
       List<Machine> withRoom,
-      boolean withImageOnly) {
+      boolean withImageOnly,
+      double now) {
     this.cluster = cluster;
     this.random = random;
     this.rules = rules;
@@ -53,7 +55,7 @@
       tiers.add(new ArrayList<>());
     }
     for (Machine machine : withRoom) {
-      if (machine.hasRoomFor(job.taskResources) && rules.isAllowed(job, machine)) {
+      if (machine.hasRoomFor(job.taskResources) && rules.isAllowed(job, machine, now)) {
         int tier = tier(job, machine);
         if (!withImageOnly || tier < FIRST_WITHOUT_IMAGE) {
           tiers.get(tier).add(machine);
--- a/src/main/java/graderelay/core/FailureAttribution.java
+++ b/src/main/java/graderelay/core/FailureAttribution.java
@@ -49,7 +49,7 @@
     boolean failedEarly =
         claim.runningSince == 0 || now - claim.runningSince < MIN_SUCCESSFUL_RUN_S;
     boolean isProvenJob = job.doneCount > 0 || (job.ranSuccessfully && failedEarly);
-    job.failedMachines.add(machine.name);
+    job.failedMachines.onFailure(machine.name, now);
     int attemptCap = cluster.policy.tuning().attemptCap();
     if (job.suspect) {
       // Only attempts claimed after the job became suspect are new evidence.
@@ -99,7 +99,7 @@
             + " fails on every machine, "
             + job.failedMachines.size()
             + " so far: retrying one task at a time");
-    for (String machineName : job.failedMachines) {
+    for (String machineName : job.failedMachines.names()) {
       Machine machine = cluster.machines.get(machineName);
       if (machine == null || machine.failureCountByJob.remove(job.spec.id()) == null) {
         continue;
--- a/src/main/java/graderelay/core/Job.java
+++ b/src/main/java/graderelay/core/Job.java
@@ -139,7 +139,7 @@
   // ---------------------------------------------------------------- failures
 
   /** Machines on which a task of this job failed on its own, see {@link FailureAttribution}. */
-  final Set<String> failedMachines = new HashSet<>();
+  final FailedMachines failedMachines = new FailedMachines();
 
   /**
    * True if it failed on several machines and succeeded on none; then one task is tried at a time.
--- a/src/main/java/graderelay/core/JobPlacer.java
+++ b/src/main/java/graderelay/core/JobPlacer.java
@@ -146,7 +146,8 @@
       }
       if (candidates == null) {
         candidates =
-            new CandidateMachines(cluster, random, rules, job, context.withRoom(), withImageOnly);
+            new CandidateMachines(
+                cluster, random, rules, job, context.withRoom(), withImageOnly, context.now());
       }
       Machine machine = candidates.pick();
       if (machine == null) {
--- a/src/main/java/graderelay/core/PlacementDiagnosis.java
+++ b/src/main/java/graderelay/core/PlacementDiagnosis.java
@@ -39,7 +39,7 @@
     if (!MachineAvailability.isAvailable(cluster, machine, now)) {
       return PlacementObstacle.UNAVAILABLE;
     }
-    PlacementObstacle obstacle = rules.obstacle(job, machine);
+    PlacementObstacle obstacle = rules.obstacle(job, machine, now);
     if (obstacle != null) {
       return obstacle;
     }
--- a/src/main/java/graderelay/core/PlacementRules.java
+++ b/src/main/java/graderelay/core/PlacementRules.java
@@ -15,12 +15,12 @@
   }
 
   /** True if the machine meets the rules that do not depend on where the job's other tasks are. */
-  boolean isAllowed(Job job, Machine machine) {
-    return obstacle(job, machine) == null;
+  boolean isAllowed(Job job, Machine machine, double now) {
+    return obstacle(job, machine, now) == null;
   }
 
   /** The first rule of {@link #isAllowed} that the machine breaks, or null. */
-  PlacementObstacle obstacle(Job job, Machine machine) {
+  PlacementObstacle obstacle(Job job, Machine machine, double now) {
     JobSpec spec = job.spec;
     if (spec.types() != null && !spec.types().contains(machine.type)) {
       return PlacementObstacle.OTHER_TYPE;
@@ -34,15 +34,15 @@
     if (machine.consolidating) {
       return PlacementObstacle.CONSOLIDATING;
     }
-    return isAvoided(job, machine) ? PlacementObstacle.AVOIDED : null;
+    return isAvoided(job, machine, now) ? PlacementObstacle.AVOIDED : null;
   }
 
   /**
-   * True for a machine on which a task of the job failed, unless the job failed on half of the
-   * machines or more: it has to be retried, and on a small fleet no other machine may be left.
+   * True for a machine on which a task of the job failed recently, unless the job failed on half of
+   * the machines or more: it has to be retried, and on a small fleet no other machine may be left.
    */
-  private boolean isAvoided(Job job, Machine machine) {
-    return job.failedMachines.contains(machine.name)
+  private boolean isAvoided(Job job, Machine machine, double now) {
+    return job.failedMachines.isAvoided(machine.name, now)
         && job.failedMachines.size() * 2 < cluster.machines.size();
   }
 
@@ -101,7 +101,7 @@
           && type != null
           && type.fetchGbPerS() > 0
           && job.spec.imageGb() / type.fetchGbPerS() > startObjectiveS
-          && isAllowed(job, machine)
+          && isAllowed(job, machine, now)
           && isZoneAllowed(job, machine.zone)
           && canMakeRoom(job, machine)) {
         return true;
--- a/src/main/java/graderelay/core/PreemptionCandidates.java
+++ b/src/main/java/graderelay/core/PreemptionCandidates.java
@@ -77,7 +77,7 @@
               ? !machine.claims.isEmpty()
               : machine.claimCountByPriority.hasLowerThan(job.priority());
       if (mayHaveVictims
-          && rules.isAllowed(job, machine)
+          && rules.isAllowed(job, machine, now)
           && PlacementRules.isZoneAllowed(job, machine.zone)) {
         Candidate candidate = findCheapest(job, machine, withinGuarantee, now);
         if (candidate != null) {
--- a/src/main/java/graderelay/core/ScaleOutPacking.java
+++ b/src/main/java/graderelay/core/ScaleOutPacking.java
@@ -300,7 +300,7 @@
     for (PackingBin bin : bins) {
       if (poolChooser.isEligible(group.spec(), bin.pool)
           && bin.hasRoomBesideServices(group.spec())
-          && (bin.machine == null || placementRules.isAllowed(group.job(), bin.machine))) {
+          && (bin.machine == null || placementRules.isAllowed(group.job(), bin.machine, now))) {
         return true;
       }
     }
