The fleet plan counts only room on which placement puts the job

Cause: ScaleOutPacking asked for type, zone and spot of a bin (PoolChooser), placement also for what the job avoids and for consolidations (PlacementRules).

Change: the packing asks PlacementRules.obstacle for each bin that is a machine. A consolidation ends when its machine has the only room for a service, or for an array that has waited 60 s; such a machine is kept and isn't marked again in the same plan. Spare capacity is counted as before. The shapes of tasks that fit nowhere are remembered as before, but not from a job that avoids a machine.

WaitBesideRoomTest.machineIsRequestedForJobThatAvoidsTheOnlyOneWithRoom fails before and holds now.

--- a/src/main/java/graderelay/core/FleetConsolidation.java
+++ b/src/main/java/graderelay/core/FleetConsolidation.java
@@ -61,10 +61,9 @@
    * need.
    *
    * @param surplusCpus CPUs beyond what deadlines need; if negative, machines are unmarked
-   * @param spareCapacityMachines machines that hold the spare capacity of the plan, which are not
-   *     marked
+   * @param machinesToKeep machines that the plan needs, which are not marked
    */
-  void consolidate(double surplusCpus, Set<Machine> spareCapacityMachines, double now) {
+  void consolidate(double surplusCpus, Set<Machine> machinesToKeep, double now) {
     if (hasWorkThatCannotWaitForSpot() || now - startedAt < ScaleInPlanner.FAILOVER_SETTLE_S) {
       cluster.machines.values().forEach(machine -> machine.consolidating = false);
       return;
@@ -72,7 +71,7 @@
     List<Machine> onDemand = onDemandMachines();
     double surplusLeft = unmark(onDemand, surplusCpus);
     onDemand.sort(Comparator.comparingDouble(machine -> -hourlyPriceBesideServices(machine)));
-    markSome(onDemand, surplusLeft, spareCapacityMachines, now);
+    markSome(onDemand, surplusLeft, machinesToKeep, now);
     serviceMoves.moveOffConsolidatingMachines(onDemand, maxPerPlan(onDemand), now);
   }
 
@@ -121,7 +120,7 @@
   private void markSome(
       List<Machine> mostExpensiveFirst,
       double surplusCpus,
-      Set<Machine> spareCapacityMachines,
+      Set<Machine> machinesToKeep,
       double now) {
     double surplusLeft = surplusCpus;
     int markingsLeft = maxPerPlan(mostExpensiveFirst);
@@ -129,7 +128,7 @@
         MAX_CANDIDATES_PER_THOUSAND_MACHINES * FleetPlanner.thousandsOfMachines(cluster);
     for (Machine machine : mostExpensiveFirst) {
       if (machine.consolidating
-          || spareCapacityMachines.contains(machine)
+          || machinesToKeep.contains(machine)
           || now - machine.requestedAt < MIN_BILLING_PERIOD_S) {
         continue;
       }
--- a/src/main/java/graderelay/core/FleetPlanner.java
+++ b/src/main/java/graderelay/core/FleetPlanner.java
@@ -119,17 +119,16 @@
     // The fleet must grow for all others.
     Set<Job> lateUnderTeamLimits = teammateYielding.yieldingJobs(Double.MAX_VALUE, now);
     double neededCpus = deadlines.neededCpus(lateUnderTeamLimits, now);
-    Set<Machine> spareCapacityMachines = new HashSet<>();
+    Set<Machine> machinesToKeep = new HashSet<>();
     Map<JobSpec, Integer> spareCapacity = demandHistory.spareCapacity(now);
     double heldCpus = Math.min(availableCpus, deadlines.cpusHeldByOtherArrays(now));
     double missingCpus = Math.max(0, neededCpus - (availableCpus - heldCpus));
     Map<InstancePool, Integer> machinesToRequest =
-        scaleOutPlanner.pack(
-            bins, spareCapacity, missingCpus, spareCapacityMachines, unmetDemand, now);
+        scaleOutPlanner.pack(bins, spareCapacity, missingCpus, machinesToKeep, unmetDemand, now);
     unmetDemand.endPlan(neededCpus, availableCpus - heldCpus, now);
-    consolidation.consolidate(availableCpus - neededCpus, spareCapacityMachines, now);
+    consolidation.consolidate(availableCpus - neededCpus, machinesToKeep, now);
     scaleOutPlanner.sendRequests(machinesToRequest, now);
-    scaleInPlanner.scaleIn(spareCapacityMachines, now);
+    scaleInPlanner.scaleIn(machinesToKeep, now);
     demandHistory.store(now);
     imageRecords.store(now);
   }
--- a/src/main/java/graderelay/core/PlacementRules.java
+++ b/src/main/java/graderelay/core/PlacementRules.java
@@ -14,12 +14,18 @@
     this.cluster = cluster;
   }
 
-  /** True if the machine meets the rules that do not depend on where the job's other tasks are. */
+  /**
+   * True if the machine meets the rules that do not depend on where the job's other tasks are. Both
+   * placement and the fleet plan ask this, so that the plan counts no room that placement leaves.
+   */
   boolean isAllowed(Job job, Machine machine, double now) {
     return obstacle(job, machine, now) == null;
   }
 
-  /** The first rule of {@link #isAllowed} that the machine breaks, or null. */
+  /**
+   * The first rule of {@link #isAllowed} that the machine breaks, or null. A machine that is only
+   * being consolidated meets all other rules.
+   */
   PlacementObstacle obstacle(Job job, Machine machine, double now) {
     JobSpec spec = job.spec;
     if (spec.types() != null && !spec.types().contains(machine.type)) {
@@ -31,10 +37,10 @@
     if (machine.spot && !spec.spot()) {
       return PlacementObstacle.SPOT;
     }
-    if (machine.consolidating) {
-      return PlacementObstacle.CONSOLIDATING;
+    if (isAvoided(job, machine, now)) {
+      return PlacementObstacle.AVOIDED;
     }
-    return isAvoided(job, machine, now) ? PlacementObstacle.AVOIDED : null;
+    return machine.consolidating ? PlacementObstacle.CONSOLIDATING : null;
   }
 
   /**
--- a/src/main/java/graderelay/core/ScaleInPlanner.java
+++ b/src/main/java/graderelay/core/ScaleInPlanner.java
@@ -85,9 +85,9 @@
   /**
    * Requests the deletion of machines that should be scaled in.
    *
-   * @param spareCapacityMachines machines that hold spare capacity and stay even if they are idle
+   * @param machinesToKeep machines that the plan needs, which stay even if they are idle
    */
-  void scaleIn(Set<Machine> spareCapacityMachines, double now) {
+  void scaleIn(Set<Machine> machinesToKeep, double now) {
     List<String> toScaleIn = new ArrayList<>();
     for (Machine machine : cluster.machines.values()) {
       if (toScaleIn.size() >= MAX_MACHINES_PER_REQUEST) {
@@ -100,7 +100,7 @@
         }
         continue;
       }
-      Reason reason = reason(machine, spareCapacityMachines, now);
+      Reason reason = reason(machine, machinesToKeep, now);
       if (reason != null) {
         machine.scalingIn = true;
         machine.scaleInRequestedAt = now;
@@ -166,7 +166,7 @@
   }
 
   /** Why a machine should be scaled in, or null if it should stay. */
-  private Reason reason(Machine machine, Set<Machine> spareCapacityMachines, double now) {
+  private Reason reason(Machine machine, Set<Machine> machinesToKeep, double now) {
     if (machine.failed) {
       return Reason.FAILED;
     }
@@ -187,7 +187,7 @@
         || (machine.lastHeartbeat != null && !machine.lastHeartbeat.tasks().isEmpty())) {
       return null;
     }
-    return emptyMachineReason(machine, spareCapacityMachines, now);
+    return emptyMachineReason(machine, machinesToKeep, now);
   }
 
   /** True if the machine has exceeded the boot timeout of its type. */
@@ -201,8 +201,7 @@
   }
 
   /** Why a running machine without tasks should be scaled in, or null if it should stay. */
-  private Reason emptyMachineReason(
-      Machine machine, Set<Machine> spareCapacityMachines, double now) {
+  private Reason emptyMachineReason(Machine machine, Set<Machine> machinesToKeep, double now) {
     if (machine.responsesLostSince != null
         && now - machine.responsesLostSince > SILENT_GRACE_PERIOD_S) {
       return Reason.RESPONSES_LOST;
@@ -210,7 +209,7 @@
     if (machine.faulty) {
       return Reason.FAILED_SEVERAL_JOBS;
     }
-    if (spareCapacityMachines.contains(machine) || machine.cordoned) {
+    if (machinesToKeep.contains(machine) || machine.cordoned) {
       return null;
     }
     if (now - startedAt < FAILOVER_SETTLE_S) {
--- a/src/main/java/graderelay/core/ScaleOutPacking.java
+++ b/src/main/java/graderelay/core/ScaleOutPacking.java
@@ -20,28 +20,10 @@
   private static final boolean[] SERVICES_FIRST = {true, false};
 
   /**
-   * Tasks of one spec that are packed together.
-   *
-   * @param job the job whose waiting tasks they are; null if they represent spare capacity
-   */
-  private record TaskGroup(JobSpec spec, int tasks, ZoneTaskLimit zones, Job job) {
-    private boolean isSpareCapacity() {
-      return job == null;
-    }
-  }
-
-  /**
-   * What decides which bins take tasks of a group, beside limits by zone.
-   *
-   * @param resources what one task needs
+   * Seconds for which an array waits beside room on a machine that is being consolidated before the
+   * machine is kept for it; well below the 90 s within which it has to be placed.
    */
-  private record TaskShape(
-      Resources resources, List<String> types, String zone, boolean spot, boolean service) {
-    private static TaskShape of(JobSpec spec) {
-      return new TaskShape(
-          Resources.of(spec), spec.types(), spec.zone(), spec.spot(), spec.isService());
-    }
-  }
+  private static final double MAX_WAIT_BESIDE_CONSOLIDATION_S = 60;
 
   private final ClusterState cluster;
   private final Deadlines deadlines;
@@ -58,7 +40,7 @@
    * Shapes of tasks that no open bin takes any more. On a busy fleet most waiting jobs share a few
    * shapes, and each job would otherwise examine all bins.
    */
-  private final Set<TaskShape> fullShapes = new HashSet<>();
+  private final Set<TaskGroup.Shape> fullShapes = new HashSet<>();
 
   private final UnmetDemand unmetDemand;
   private final double now;
@@ -100,17 +82,18 @@
    * Packs all groups and returns the number of machines to request from each pool.
    *
    * @param spareCapacity number of tasks to keep spare capacity for, by spec
-   * @param spareCapacityMachines receives the machines that hold spare capacity
+   * @param machinesToKeep receives the machines that hold spare capacity, or room that the plan has
+   *     promised to waiting tasks
    */
   Map<InstancePool, Integer> pack(
-      Map<JobSpec, Integer> spareCapacity, Set<Machine> spareCapacityMachines) {
+      Map<JobSpec, Integer> spareCapacity, Set<Machine> machinesToKeep) {
     List<Job> waiting = waitingJobs();
     selectOpenBins(waiting, spareCapacity.keySet());
     // Services first: they can't use spot machines, and arrays can be preempted for them.
     for (boolean services : SERVICES_FIRST) {
       for (Job job : waiting) {
         if (job.spec.isService() == services) {
-          packWaitingTasks(job, spareCapacityMachines);
+          packWaitingTasks(job, machinesToKeep);
         }
       }
       for (var spare : spareCapacity.entrySet()) {
@@ -118,7 +101,7 @@
         int tasks = spare.getValue();
         if (spec.isService() == services) {
           ZoneTaskLimit zones = ZoneTaskLimit.ofSpareRoom(spec, tasks);
-          packGroup(new TaskGroup(spec, tasks, zones, null), spareCapacityMachines);
+          packGroup(new TaskGroup(spec, tasks, zones, null), machinesToKeep);
         }
       }
     }
@@ -143,10 +126,10 @@
   }
 
   /** Packs a job's open tasks; those that get no machine leave the team's limit to other jobs. */
-  private void packWaitingTasks(Job job, Set<Machine> spareCapacityMachines) {
+  private void packWaitingTasks(Job job, Set<Machine> machinesToKeep) {
     int tasks = tasksWithinLimit(job);
     TaskGroup group = new TaskGroup(job.spec, tasks, ZoneTaskLimit.of(job), job);
-    int unpackedTasks = packGroup(group, spareCapacityMachines);
+    int unpackedTasks = packGroup(group, machinesToKeep);
     double packedCpus = (tasks - unpackedTasks) * job.spec.cpus();
     cpusLeftByTeam.computeIfPresent(job.spec.team(), (team, cpusLeft) -> cpusLeft - packedCpus);
   }
@@ -202,17 +185,70 @@
    * Packs the group into existing bins and adds machines to request for the rest. Returns the
    * number of tasks left without a machine.
    */
-  private int packGroup(TaskGroup group, Set<Machine> spareCapacityMachines) {
-    int tasksLeft = fillBins(group, spareCapacityMachines);
+  private int packGroup(TaskGroup group, Set<Machine> machinesToKeep) {
+    int tasksLeft = fillBins(group, machinesToKeep);
+    if (tasksLeft > 0 && mayEndConsolidations(group)) {
+      tasksLeft = endConsolidationsFor(group, tasksLeft, machinesToKeep);
+    }
     return tasksLeft > 0 ? addMachines(group, tasksLeft) : 0;
   }
 
+  /**
+   * True if the group's tasks are a reason to end a consolidation. Arrays that may use spot
+   * machines or wait for room elsewhere are one only after a while: they are what the machine is
+   * emptied of.
+   */
+  private boolean mayEndConsolidations(TaskGroup group) {
+    return !group.isSpareCapacity()
+        && (group.spec().isService()
+            || now - group.job().waitingSince > MAX_WAIT_BESIDE_CONSOLIDATION_S);
+  }
+
+  /**
+   * Ends the consolidation of machines with room for tasks that fit nowhere else, since placement
+   * leaves the room on the others. Returns the number of tasks left over.
+   */
+  private int endConsolidationsFor(TaskGroup group, int tasks, Set<Machine> machinesToKeep) {
+    int tasksLeft = tasks;
+    for (PackingBin bin : openBins) {
+      if (tasksLeft <= 0) {
+        break;
+      }
+      if (!poolChooser.isEligible(group.spec(), bin.pool)
+          || obstacle(group, bin) != PlacementObstacle.CONSOLIDATING) {
+        continue;
+      }
+      int packed = packInto(bin, group, tasksLeft);
+      if (packed > 0) {
+        bin.machine.consolidating = false;
+        machinesToKeep.add(bin.machine);
+        cluster.roundNeeded = true;
+        cluster.log(
+            "consolidating machine "
+                + bin.machine.name
+                + " ends: "
+                + group.spec().id()
+                + " needs it");
+      }
+      tasksLeft -= packed;
+    }
+    return tasksLeft;
+  }
+
+  /** The rule that keeps placement from putting the group's tasks into the bin, or null. */
+  private PlacementObstacle obstacle(TaskGroup group, PackingBin bin) {
+    return bin.machine == null || group.isSpareCapacity()
+        ? null
+        : placementRules.obstacle(group.job(), bin.machine, now);
+  }
+
   /** Packs tasks into existing bins and returns the number of tasks left over. */
-  private int fillBins(TaskGroup group, Set<Machine> spareCapacityMachines) {
+  private int fillBins(TaskGroup group, Set<Machine> machinesToKeep) {
     int tasksLeft = group.tasks();
-    if (fullShapes.contains(TaskShape.of(group.spec()))) {
+    if (fullShapes.contains(group.shape())) {
       return tasksLeft;
     }
+    boolean avoidsBins = false;
     for (boolean spot : SPOT_FIRST) {
       for (PackingBin bin : openBins) {
         if (tasksLeft <= 0) {
@@ -221,15 +257,20 @@
         if (!isPackedInPass(group.spec(), bin.pool, spot)) {
           continue;
         }
+        PlacementObstacle obstacle = obstacle(group, bin);
+        if (obstacle != null) {
+          avoidsBins |= obstacle == PlacementObstacle.AVOIDED;
+          continue;
+        }
         int packed = packInto(bin, group, tasksLeft);
         if (packed > 0 && group.isSpareCapacity() && bin.machine != null) {
-          spareCapacityMachines.add(bin.machine);
+          machinesToKeep.add(bin.machine);
         }
         tasksLeft -= packed;
       }
     }
-    if (tasksLeft > 0 && group.zones().isUnlimited()) {
-      fullShapes.add(TaskShape.of(group.spec()));
+    if (tasksLeft > 0 && group.zones().isUnlimited() && !avoidsBins) {
+      fullShapes.add(group.shape());
     }
     return tasksLeft;
   }
--- a/src/main/java/graderelay/core/ScaleOutPlanner.java
+++ b/src/main/java/graderelay/core/ScaleOutPlanner.java
@@ -120,19 +120,20 @@
    *
    * @param spareCapacity number of tasks to keep spare capacity for, by spec
    * @param onDemandCpus on-demand CPUs needed to meet deadlines, beyond the existing fleet
-   * @param spareCapacityMachines receives the machines that hold spare capacity
+   * @param machinesToKeep receives the machines that hold spare capacity, or room that the plan has
+   *     promised to waiting tasks
    * @param unmetDemand receives the waiting tasks for which no machine is requested
    */
   Map<InstancePool, Integer> pack(
       List<PackingBin> bins,
       Map<JobSpec, Integer> spareCapacity,
       double onDemandCpus,
-      Set<Machine> spareCapacityMachines,
+      Set<Machine> machinesToKeep,
       UnmetDemand unmetDemand,
       double now) {
     return new ScaleOutPacking(
             cluster, deadlines, poolChooser, bins, unmetDemand, onDemandCpus, now)
-        .pack(spareCapacity, spareCapacityMachines);
+        .pack(spareCapacity, machinesToKeep);
   }
 
   /**
--- a/src/test/java/graderelay/scenario/WaitBesideRoomTest.java
+++ b/src/test/java/graderelay/scenario/WaitBesideRoomTest.java
@@ -64,4 +64,15 @@
     assertThat(world.users.stage(2, array.id)).isEqualTo("done");
     fine(world);
   }
+
+  @Test
+  void machineIsRequestedForJobThatAvoidsTheOnlyOneWithRoom() {
+    // Guards against a fleet plan that counts room which placement doesn't use: the machine fails
+    // every task, so only another one can have run the array.
+    world.cloud.capacity = MACHINES + 1;
+    failArrayOnce();
+    world.loop.run(MAX_WAIT_S);
+    assertThat(world.users.stage(2, array.id)).isEqualTo("done");
+    fine(world);
+  }
 }
