The fleet plan counts arrays as room only for services that preempt them

What callers saw: nothing yet; found by the test that compares plan and placement on random states. A service of normal or low priority beside arrays of its own priority or above waits until they end, and no machine is requested for it whatever the cloud has.

Cause: PackingBin counted every array below production priority as room for any service, while Preemption stops only arrays of lower priority than the service's.

Change: the room of a bin is counted by the priority with which the tasks are queued. For services of production priority it is as before.

--- a/src/main/java/graderelay/core/PackingBin.java
+++ b/src/main/java/graderelay/core/PackingBin.java
@@ -1,5 +1,8 @@
 package graderelay.core;
 
+import java.util.EnumMap;
+import java.util.Map;
+
 /**
  * A bin in the bin packing of the fleet plan: a running or booting machine, or a machine that a
  * pending or planned scale-out request adds.
@@ -19,8 +22,8 @@
   /** Number of further tasks allowed by the limit on tasks per machine. */
   private int freeSlots;
 
-  /** Resources of array claims below production priority, which can be preempted for services. */
-  private Resources preemptible = Resources.NONE;
+  /** Resources of array claims by priority; those of lower priority are preempted for services. */
+  private final Map<Priority, Resources> arraysByPriority = new EnumMap<>(Priority.class);
 
   private PackingBin(
       Machine machine, InstancePool pool, Resources free, Resources besideServices, int slots) {
@@ -38,8 +41,8 @@
     Resources besideServices = machine.capacity.minus(machine.serviceResources);
     PackingBin bin = new PackingBin(machine, pool, machine.free(), besideServices, slots);
     for (Claim claim : machine.claims.values()) {
-      if (!claim.job.spec.isService() && Priority.PROD.isHigherThan(claim.priority)) {
-        bin.preemptible = bin.preemptible.plus(claim.resources());
+      if (!claim.job.spec.isService()) {
+        bin.arraysByPriority.merge(claim.priority, claim.resources(), Resources::plus);
       }
     }
     return bin;
@@ -51,12 +54,27 @@
     return new PackingBin(null, pool, capacity, capacity, SchedulerLimits.MAX_TASKS_PER_MACHINE);
   }
 
-  /** Number of tasks of the spec that fit; for a service, preemptible resources count as free. */
-  int capacityFor(JobSpec spec) {
-    Resources room = spec.isService() ? free.plus(preemptible) : free;
+  /**
+   * Number of tasks of the spec that fit; for a service, resources of arrays that are preempted for
+   * it count as free.
+   *
+   * @param priority the priority with which the tasks are queued
+   */
+  int capacityFor(JobSpec spec, Priority priority) {
+    Resources room = spec.isService() ? free.plus(preemptibleFor(priority)) : free;
     return Math.min(freeSlots, room.countFitting(Resources.of(spec)));
   }
 
+  private Resources preemptibleFor(Priority priority) {
+    Resources preemptible = Resources.NONE;
+    for (var arrays : arraysByPriority.entrySet()) {
+      if (priority.isHigherThan(arrays.getKey())) {
+        preemptible = preemptible.plus(arrays.getValue());
+      }
+    }
+    return preemptible;
+  }
+
   /** Packs tasks of the spec into the bin. */
   void pack(JobSpec spec, int tasks) {
     Resources packed =
@@ -75,6 +93,6 @@
 
   /** True if a task with this many CPUs does not fit, even with preemption. */
   boolean isTooFullFor(double cpus) {
-    return freeSlots <= 0 || free.cpus() + preemptible.cpus() < cpus;
+    return freeSlots <= 0 || free.cpus() + preemptibleFor(Priority.PROD).cpus() < cpus;
   }
 }
--- a/src/main/java/graderelay/core/ScaleOutPacking.java
+++ b/src/main/java/graderelay/core/ScaleOutPacking.java
@@ -287,7 +287,7 @@
 
   /** Packs at most {@code maxTasks} tasks into the bin and returns the number packed. */
   private static int packInto(PackingBin bin, TaskGroup group, int maxTasks) {
-    int tasks = Math.min(maxTasks, bin.capacityFor(group.spec()));
+    int tasks = Math.min(maxTasks, bin.capacityFor(group.spec(), group.priority()));
     if (tasks > 0) {
       tasks = Math.min(tasks, group.zones().remaining(bin.pool.zone()));
       group.zones().add(bin.pool.zone(), tasks);
--- a/src/main/java/graderelay/core/TaskGroup.java
+++ b/src/main/java/graderelay/core/TaskGroup.java
@@ -14,6 +14,7 @@
    * What decides which bins take tasks of a group, beside limits by zone and what its job avoids.
    *
    * @param resources what one task needs
+   * @param priority the priority of a service, for which arrays are preempted; null for an array
    * @param spareCapacity whether they are no job's, so that consolidations don't matter
    */
   record Shape(
@@ -22,6 +23,7 @@
       String zone,
       boolean spot,
       boolean service,
+      Priority priority,
       boolean spareCapacity) {}
 
   /** True if the tasks are no job's yet. */
@@ -29,6 +31,11 @@
     return job == null;
   }
 
+  /** The priority with which the tasks are queued. */
+  Priority priority() {
+    return isSpareCapacity() ? spec.priority() : job.priority();
+  }
+
   /** The shape of the tasks. */
   Shape shape() {
     return new Shape(
@@ -37,6 +44,7 @@
         spec.zone(),
         spec.spot(),
         spec.isService(),
+        spec.isService() ? priority() : null,
         isSpareCapacity());
   }
 }
