A faulty machine that still runs tasks is tried again after 60 s

Cause: such a machine was drained until it is empty and can be replaced, which services keep it from being without end.

Change: it gets no task for 60 s after its last failure there; then one task at a time is tried, which takes it out of use for 60 s again or, if it succeeds, ends the suspicion. An empty one is replaced at once, as before. Machine.draining, which nothing else set, is gone; the administration API says 'draining' while the machine gets no tasks, as before.

WaitBesideRoomTest.faultyMachineWithServicesIsTriedAgain fails before (90 s) and holds now; PlanAgreesWithPlacementTest draws faulty machines in place of draining ones, before and after the time at which they are tried again.

--- a/src/main/java/graderelay/core/AdminViews.java
+++ b/src/main/java/graderelay/core/AdminViews.java
@@ -51,7 +51,7 @@
     if (machine.interruptionAt != null) {
       return "noticed";
     }
-    if (machine.draining || machine.drainRequestedByOperator) {
+    if (machine.isOutOfUse(now) || machine.drainRequestedByOperator) {
       return "draining";
     }
     if (machine.cordoned) {
--- a/src/main/java/graderelay/core/FailureAttribution.java
+++ b/src/main/java/graderelay/core/FailureAttribution.java
@@ -17,6 +17,12 @@
   /** Upper bound on the quarantine, so that a machine that has recovered is used again. */
   private static final double MAX_QUARANTINE_S = 60;
 
+  /**
+   * Seconds after the last failure on a faulty machine that still runs tasks before a task is tried
+   * there again. Waiting jobs may fit on no other machine.
+   */
+  private static final double FAULTY_RETRY_S = 60;
+
   /** Seconds of a job's first pause after failures on several machines; doubles each time. */
   static final double INITIAL_JOB_BACKOFF_S = 2;
 
@@ -76,17 +82,30 @@
     double pauseS = INITIAL_QUARANTINE_S * Math.pow(2, Math.min(8, streak - 1));
     machine.quarantineUntil =
         Math.max(machine.quarantineUntil, now + Math.min(MAX_QUARANTINE_S, pauseS));
-    if (streak >= FAULTY_MACHINE_ERRORS
-        && machine.failureCountByJob.size() > 1
-        && !machine.faulty) {
+    if (streak >= FAULTY_MACHINE_ERRORS && machine.failureCountByJob.size() > 1) {
+      markFaulty(machine, now);
+    }
+  }
+
+  /** Takes a machine out of use on which tasks of several jobs failed. */
+  private void markFaulty(Machine machine, double now) {
+    machine.faultyUntil = now + FAULTY_RETRY_S;
+    if (!machine.faulty) {
       machine.faulty = true;
-      machine.draining = true;
       // Running tasks continue: only failures at the start have been observed.
       cluster.log("machine " + machine.name + " fails tasks of several jobs: it gets no new tasks");
       discardJobFailures(machine, now);
     }
   }
 
+  /** Returns a faulty machine to use. */
+  private void clearFaulty(Machine machine, String reason) {
+    machine.faulty = false;
+    cluster.roundNeeded = true;
+    cluster.roomVersion++;
+    cluster.log("machine " + machine.name + " is used again: " + reason);
+  }
+
   /** Marks a job that failed on several machines and succeeded on none; clears these machines. */
   private void markSuspect(Job job, double now) {
     job.suspect = true;
@@ -105,10 +124,7 @@
         continue;
       }
       if (machine.faulty && machine.failureCountByJob.size() < 2 && !machine.scalingIn) {
-        machine.faulty = false;
-        machine.draining = false;
-        cluster.log(
-            "machine " + machine.name + " is used again: its failures were caused by the jobs");
+        clearFaulty(machine, "its failures were caused by the jobs");
       }
       if (machine.failureCountByJob.isEmpty()) {
         machine.quarantineUntil = Double.NEGATIVE_INFINITY;
@@ -151,6 +167,9 @@
     // prove nothing.
     if (claim.claimedAt > machine.lastFailureAt) {
       machine.failureCountByJob.clear();
+      if (machine.faulty && !machine.scalingIn) {
+        clearFaulty(machine, "a task succeeded there");
+      }
     }
   }
 
--- a/src/main/java/graderelay/core/Machine.java
+++ b/src/main/java/graderelay/core/Machine.java
@@ -119,9 +119,6 @@
 
   // ---------------------------------------------------------------- availability
 
-  /** No new tasks are placed here; running tasks may finish. */
-  boolean draining;
-
   /** Operators cordoned it: no new tasks are placed here. */
   boolean cordoned;
 
@@ -131,9 +128,15 @@
   /** Marked for consolidation: it is being emptied, since its work fits on cheaper machines. */
   boolean consolidating;
 
-  /** Tasks of several jobs failed here; the machine is replaced once it is empty. */
+  /**
+   * Tasks of several jobs failed here. The machine is replaced once it is empty; if it isn't for a
+   * while, one task at a time is tried here until one succeeds.
+   */
   boolean faulty;
 
+  /** Time until which no tasks are tried on a faulty machine. */
+  double faultyUntil = Double.NEGATIVE_INFINITY;
+
   /** Consecutive task failures by job id, of jobs that are not known to be at fault. */
   final Map<String, Integer> failureCountByJob = new HashMap<>();
 
@@ -201,12 +204,29 @@
    * matches {@link Resources#hasRoomFor} on {@link #free()}, but allocates no object per call.
    */
   boolean hasRoomFor(Resources request) {
-    return claims.size() < SchedulerLimits.MAX_TASKS_PER_MACHINE
+    return freeSlots() > 0
         && request.cpus() <= freeCpus() + Resources.ROUNDING_TOLERANCE
         && request.gpus() <= capacity.gpus() - used.gpus() + Resources.ROUNDING_TOLERANCE
         && request.memGb() <= capacity.memGb() - used.memGb() + Resources.ROUNDING_TOLERANCE;
   }
 
+  /** Number of further tasks allowed by the limit on tasks per machine, and on a faulty machine. */
+  int freeSlots() {
+    return faulty
+        ? (isTrialRunning() ? 0 : 1)
+        : SchedulerLimits.MAX_TASKS_PER_MACHINE - claims.size();
+  }
+
+  /** True if a task was claimed here since the last failure. */
+  private boolean isTrialRunning() {
+    return claims.values().stream().anyMatch(claim -> claim.claimedAt > lastFailureAt);
+  }
+
+  /** True while a faulty machine gets no new tasks; running tasks may finish. */
+  boolean isOutOfUse(double now) {
+    return faulty && now < faultyUntil;
+  }
+
   /** Resources that are not taken by claims. */
   Resources free() {
     return capacity.minus(used);
--- a/src/main/java/graderelay/core/MachineAvailability.java
+++ b/src/main/java/graderelay/core/MachineAvailability.java
@@ -20,7 +20,7 @@
         && !machine.leaseExpired
         && machine.responsesLostSince == null
         && machine.highestReportedTerm >= cluster.electedTerm
-        && !machine.draining
+        && !machine.isOutOfUse(now)
         && !machine.cordoned
         && !machine.scalingIn
         && machine.interruptionAt == null
--- a/src/main/java/graderelay/core/PackingBin.java
+++ b/src/main/java/graderelay/core/PackingBin.java
@@ -37,9 +37,9 @@
   /** Returns the bin of a running or booting machine. */
   static PackingBin of(Machine machine) {
     InstancePool pool = new InstancePool(machine.type, machine.zone, machine.spot);
-    int slots = SchedulerLimits.MAX_TASKS_PER_MACHINE - machine.claims.size();
     Resources besideServices = machine.capacity.minus(machine.serviceResources);
-    PackingBin bin = new PackingBin(machine, pool, machine.free(), besideServices, slots);
+    PackingBin bin =
+        new PackingBin(machine, pool, machine.free(), besideServices, machine.freeSlots());
     for (Claim claim : machine.claims.values()) {
       if (!claim.job.spec.isService()) {
         bin.arraysByPriority.merge(claim.priority, claim.resources(), Resources::plus);
--- a/src/main/java/graderelay/core/ScaleOutPlanner.java
+++ b/src/main/java/graderelay/core/ScaleOutPlanner.java
@@ -87,7 +87,7 @@
 
   private boolean canTakeTasks(Machine machine, double now) {
     if (machine.scalingIn
-        || machine.draining
+        || machine.isOutOfUse(now)
         || machine.cordoned
         || machine.interruptionAt != null
         || machine.leaseExpired) {
--- a/src/test/java/graderelay/core/PlanAgreesWithPlacementTest.java
+++ b/src/test/java/graderelay/core/PlanAgreesWithPlacementTest.java
@@ -106,7 +106,9 @@
           machine, draw(TYPES, random), draw(ZONES, random), random.nextBoolean());
       machine.consolidating = !machine.spot && random.nextInt(3) == 0;
       machine.cordoned = random.nextInt(8) == 0;
-      machine.draining = random.nextInt(8) == 0;
+      machine.faulty = random.nextInt(4) == 0;
+      machine.faultyUntil = NOW + (random.nextBoolean() ? 30 : 0);
+      machine.lastFailureAt = NOW - 30;
       machine.interruptionAt = random.nextInt(8) == 0 ? NOW + 30 : null;
       machine.quarantineUntil = random.nextInt(6) == 0 ? NOW + 30 : 0;
       fill(machine, random);
--- a/src/test/java/graderelay/scenario/WaitBesideRoomTest.java
+++ b/src/test/java/graderelay/scenario/WaitBesideRoomTest.java
@@ -19,6 +19,12 @@
   /** Seconds within which a task of a new job has been launched and has failed. */
   private static final double FAILURE_S = 3;
 
+  /** Jobs whose failures on one machine show that it is faulty. */
+  private static final int FAILING_JOBS = 3;
+
+  /** Seconds by which they have shown it. */
+  private static final double FAULTY_AFTER_S = 20;
+
   private static final int MACHINES = 3;
 
   private final SimWorld world =
@@ -75,4 +81,24 @@
     assertThat(world.users.stage(2, array.id)).isEqualTo("done");
     fine(world);
   }
+
+  @Test
+  void faultyMachineWithServicesIsTriedAgain() {
+    // Guards against a machine that stays out of use for as long as services run on it.
+    machineWithRoom.failsEverything = true;
+    for (int i = 0; i < FAILING_JOBS; i++) {
+      world.users.submit(1, world.users.job("j-00010" + i, 1, 0.5, 5, false));
+    }
+    world.users.submit(1, array);
+    world.loop.run(FAULTY_AFTER_S);
+    assertThat(world.controllers[world.leader()].core().machines(world.loop.now()))
+        .anyMatch(
+            machine ->
+                machine.name().equals(machineWithRoom.name) && machine.state().equals("draining"));
+    machineWithRoom.failsEverything = false;
+    world.loop.run(MAX_WAIT_S);
+    assertThat(machineWithRoom.running()).contains("j-000002/0");
+    assertThat(world.users.stage(2, array.id)).isEqualTo("done");
+    fine(world);
+  }
 }
