A machine that hears nothing for a lease is no room in the fleet plan

Placement gives no task to a machine whose responses are lost, for as long as they are; the plan counted its room, so jobs that fit nowhere else had no machine requested for them. Its lease never ends for the leader, which counts it from its own answers.

Change: such a machine is left out of the plan once its responses have been lost for longer than a lease, when its own tasks are gone as well; shorter losses heal and request nothing, as before.

--- a/src/main/java/graderelay/core/ScaleOutPlanner.java
+++ b/src/main/java/graderelay/core/ScaleOutPlanner.java
@@ -90,7 +90,8 @@
         || machine.isOutOfUse(now)
         || machine.cordoned
         || machine.interruptionAt != null
-        || machine.leaseExpired) {
+        || machine.leaseExpired
+        || isDeaf(machine, now)) {
       return false;
     }
     if (!machine.heartbeatReceived
@@ -100,6 +101,15 @@
     return !(now < machine.quarantineUntil);
   }
 
+  /**
+   * True for a machine that has received no response for longer than a lease. Its tasks are gone by
+   * then, and placement gives it no others.
+   */
+  private boolean isDeaf(Machine machine, double now) {
+    return machine.responsesLostSince != null
+        && now - machine.responsesLostSince > cluster.policy.leaseS();
+  }
+
   /** CPUs available to arrays in the bins: those that are not used by services. */
   double cpusAvailableToArrays(List<PackingBin> bins) {
     double cpus = 0;
--- a/src/test/java/graderelay/core/PlanAgreesWithPlacementTest.java
+++ b/src/test/java/graderelay/core/PlanAgreesWithPlacementTest.java
@@ -106,6 +106,7 @@
           machine, draw(TYPES, random), draw(ZONES, random), random.nextBoolean());
       machine.consolidating = !machine.spot && random.nextInt(3) == 0;
       machine.cordoned = random.nextInt(8) == 0;
+      machine.responsesLostSince = random.nextInt(8) == 0 ? NOW - 2 * SimWorld.LEASE_S : null;
       machine.faulty = random.nextInt(4) == 0;
       machine.faultyUntil = NOW + (random.nextBoolean() ? 30 : 0);
       machine.lastFailureAt = NOW - 30;
