One rule for which pools a job may use, and which machines its replicas may move to

Type, zone and spot were asked in PlacementRules, PoolChooser and ServiceMoves, each in its own words; now PlacementRules.poolObstacle is the only one. ServiceMoves asks PlacementRules.isAllowed, so a replica is no longer stopped to move to a machine that its job avoids, where placement would not put it.

--- a/src/main/java/graderelay/core/PlacementRules.java
+++ b/src/main/java/graderelay/core/PlacementRules.java
@@ -27,15 +27,10 @@
    * being consolidated meets all other rules.
    */
   PlacementObstacle obstacle(Job job, Machine machine, double now) {
-    JobSpec spec = job.spec;
-    if (spec.types() != null && !spec.types().contains(machine.type)) {
-      return PlacementObstacle.OTHER_TYPE;
-    }
-    if (spec.zone() != null && !spec.zone().equals(machine.zone)) {
-      return PlacementObstacle.OTHER_ZONE;
-    }
-    if (machine.spot && !spec.spot()) {
-      return PlacementObstacle.SPOT;
+    PlacementObstacle poolObstacle =
+        poolObstacle(job.spec, machine.type, machine.zone, machine.spot);
+    if (poolObstacle != null) {
+      return poolObstacle;
     }
     if (isAvoided(job, machine, now)) {
       return PlacementObstacle.AVOIDED;
@@ -43,6 +38,17 @@
     return machine.consolidating ? PlacementObstacle.CONSOLIDATING : null;
   }
 
+  /** The constraint of the spec that machines of a pool don't meet, or null. */
+  static PlacementObstacle poolObstacle(JobSpec spec, String type, String zone, boolean spot) {
+    if (spec.types() != null && !spec.types().contains(type)) {
+      return PlacementObstacle.OTHER_TYPE;
+    }
+    if (spec.zone() != null && !spec.zone().equals(zone)) {
+      return PlacementObstacle.OTHER_ZONE;
+    }
+    return spot && !spec.spot() ? PlacementObstacle.SPOT : null;
+  }
+
   /**
    * True for a machine on which a task of the job failed recently, unless the job failed on half of
    * the machines or more: it has to be retried, and on a small fleet no other machine may be left.
--- a/src/main/java/graderelay/core/PoolChooser.java
+++ b/src/main/java/graderelay/core/PoolChooser.java
@@ -60,8 +60,7 @@
     MachineType type = cluster.machineTypes.get(pool.type());
     return type != null
         && spec.fits(type)
-        && (spec.zone() == null || spec.zone().equals(pool.zone()))
-        && (spec.spot() || !pool.spot());
+        && PlacementRules.poolObstacle(spec, pool.type(), pool.zone(), pool.spot()) == null;
   }
 
   /**
--- a/src/main/java/graderelay/core/ServiceMoves.java
+++ b/src/main/java/graderelay/core/ServiceMoves.java
@@ -17,10 +17,12 @@
   private static final double MOVE_INTERVAL_S = 2;
 
   private final ClusterState cluster;
+  private final PlacementRules placementRules;
   private double lastMoveAt = Double.NEGATIVE_INFINITY;
 
   ServiceMoves(ClusterState cluster) {
     this.cluster = cluster;
+    this.placementRules = new PlacementRules(cluster);
   }
 
   /**
@@ -43,7 +45,7 @@
       if (!claim.job.spec.isService()) {
         continue;
       }
-      Machine target = firstWithRoom(claim, free);
+      Machine target = firstWithRoom(claim, free, now);
       if (target == null) {
         return false;
       }
@@ -52,9 +54,9 @@
     return true;
   }
 
-  private static Machine firstWithRoom(Claim claim, Map<Machine, Resources> free) {
+  private Machine firstWithRoom(Claim claim, Map<Machine, Resources> free, double now) {
     for (var entry : free.entrySet()) {
-      if (entry.getValue().hasRoomFor(claim.resources()) && canRunOn(claim, entry.getKey())) {
+      if (entry.getValue().hasRoomFor(claim.resources()) && canRunOn(claim, entry.getKey(), now)) {
         return entry.getKey();
       }
     }
@@ -65,11 +67,10 @@
    * True if the service may be moved to the target. Services with zone constraints are not moved,
    * since moving single replicas could violate the constraint.
    */
-  private static boolean canRunOn(Claim claim, Machine target) {
+  private boolean canRunOn(Claim claim, Machine target, double now) {
     JobSpec spec = claim.job.spec;
     return target.hasImage(spec.image())
-        && (spec.types() == null || spec.types().contains(target.type))
-        && (spec.zone() == null || spec.zone().equals(target.zone))
+        && placementRules.isAllowed(claim.job, target, now)
         && !spec.oneZone()
         && (!spec.spread() || spec.tasks() == 1);
   }
@@ -129,7 +130,7 @@
       if (target != from
           && !target.consolidating
           && target.hasRoomFor(claim.resources())
-          && canRunOn(claim, target)
+          && canRunOn(claim, target, now)
           && MachineAvailability.isAvailable(cluster, target, now)
           && freeAfterMoves(planned, target).hasRoomFor(claim.resources())) {
         return target;
