--- a/src/test/java/graderelay/scenario/RandomDayTest.java
+++ b/src/test/java/graderelay/scenario/RandomDayTest.java
@@ -50,6 +50,13 @@
     assertKeepsTheRules(seed, RandomDay::playWithoutSpotMachines);
   }
 
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void noJobIsLeftWaitingBesideRoomOnFullFleet(long seed) {
+    // Guards against a job that is kept from the only machine with room for good.
+    assertKeepsTheRules(seed, RandomDay::playOnFullFleet);
+  }
+
   private static void assertKeepsTheRules(
       long seed, BiFunction<Long, List<Fault>, Verdict> player) {
     List<Fault> faults = Fault.day(seed, RandomDay.DAY_S);
--- a/src/test/java/graderelay/sim/InvariantChecker.java
+++ b/src/test/java/graderelay/sim/InvariantChecker.java
@@ -52,6 +52,21 @@
     return running.getOrDefault(team, 0.0);
   }
 
+  /** CPUs that the tasks on a machine take. */
+  double cpusOn(String machine) {
+    double cpus = 0;
+    for (var placed : machineOf.entrySet()) {
+      cpus += placed.getValue().equals(machine) ? job(placed.getKey()).cpus : 0;
+    }
+    return cpus;
+  }
+
+  /** Number of the job's tasks that are neither done nor on a machine. */
+  int waitingTasks(SimJob job) {
+    int onMachines = (int) machineOf.keySet().stream().filter(task -> job(task) == job).count();
+    return job.tasks - job.done.size() - onMachines;
+  }
+
   /** Adds a line with the virtual time to the trace. */
   public void log(String s) {
     trace.add(String.format("%.3f %s", loop.now(), s));
--- a/src/test/java/graderelay/sim/RandomDay.java
+++ b/src/test/java/graderelay/sim/RandomDay.java
@@ -23,8 +23,20 @@
   /** Seconds that a user waits for the answer to a poll. */
   private static final double POLL_S = 2;
 
+  /** Seconds after the day's end by which all faults are over. */
+  private static final double LONGEST_FAULT_S = 50;
+
   private static final int JOBS = 14;
 
+  /** Machines of a small fleet that is full but for one of them. */
+  private static final int FULL_FLEET = 3;
+
+  /** Arrays that come while every machine fails its tasks, and for how many seconds it does. */
+  private static final int FAILED_ARRAYS = 3;
+
+  private static final double MIN_FAILING_S = 1;
+  private static final double MAX_FAILING_S = 4;
+
   private static final double MIN_DEADLINE_S = 5;
   private static final double MAX_DEADLINE_S = 90;
   private static final double MAX_CLOUD_OUTAGE_S = 40;
@@ -138,6 +150,40 @@
     return day.run();
   }
 
+  /**
+   * A day on a small fleet that services fill but for one machine. Once all other faults are over,
+   * every machine fails its tasks for some seconds, in which arrays come.
+   */
+  public static Verdict playOnFullFleet(long seed, List<Fault> faults) {
+    WorldShape shape =
+        new WorldShape(
+            3, SimWorld.HEARTBEAT_S, SimWorld.LEASE_S, List.of("a"), FULL_FLEET, SimWorld.LIMIT);
+    SimWorld world = new SimWorld(seed, shape, SimWorld.SAME);
+    RandomDay day = new RandomDay(world, seed, false);
+    SimJob service = world.users.job("j-000200", FULL_FLEET - 1, 4, 0, false);
+    day.all.add(service);
+    world.loop.after(2, () -> world.users.submit(0, service));
+    world.loop.after(DAY_S + LONGEST_FAULT_S, day::failArraysOnAllMachines);
+    new FaultInjector(world).schedule(faults);
+    return day.run();
+  }
+
+  private void failArraysOnAllMachines() {
+    SplittableRandom r = new SplittableRandom(random.nextLong());
+    world.workers.values().forEach(worker -> worker.failsEverything = true);
+    world.loop.after(
+        MIN_FAILING_S + r.nextDouble() * MAX_FAILING_S,
+        () -> world.workers.values().forEach(worker -> worker.failsEverything = false));
+    for (int i = 0; i < FAILED_ARRAYS; i++) {
+      SimJob array =
+          world.users.job("j-00021" + i, 1 + r.nextInt(3), 1 + r.nextInt(3), 5, r.nextBoolean());
+      all.add(array);
+      mustEnd.add(array);
+      world.users.submit(i % world.size, array);
+      polls(array, i % world.size);
+    }
+  }
+
   private void drawCloudTroubles(SplittableRandom r) {
     world.cloud.spotCapacity = 0;
     if (r.nextInt(3) == 0) {
@@ -170,9 +216,13 @@
   }
 
   private Verdict run() {
+    WaitChecker waitChecker = new WaitChecker(world);
     // Stops at the first broken rule, so that the trace ends with it.
     for (int i = 0; i < DAY_S + CALM_S && world.invariants.violations.isEmpty(); i++) {
       world.loop.run(1);
+      if (i > DAY_S + LONGEST_FAULT_S) {
+        waitChecker.check();
+      }
     }
     List<String> violations = new ArrayList<>(world.invariants.violations);
     if (violations.isEmpty()) {
