An exception in a tick no longer ends the leader's ticks; requests of types not listed any more

If the cloud no longer lists the type of a machine that was requested a moment ago, the fleet plan throws, and with it the tick that would have scheduled the next one: the leader keeps its lease and answers heartbeats, but no lease of a machine ends, no machine is requested, and nobody takes over.

Change: the plan leaves out requests for types that aren't listed; ticks of the leader term and of the controller schedule the next one whatever happens in them. The exception is logged by the loop, as before.

That a tick survives other exceptions has no test.

--- a/src/main/java/graderelay/core/ScaleOutPlanner.java
+++ b/src/main/java/graderelay/core/ScaleOutPlanner.java
@@ -76,15 +76,19 @@
         bins.add(PackingBin.of(machine));
       }
     }
-    for (PendingRequest request : pendingRequests.values()) {
-      for (int i = 0; i < request.count(); i++) {
-        InstancePool pool = request.pool();
-        bins.add(PackingBin.ofRequestedMachine(pool, cluster.machineTypes.get(pool.type())));
-      }
-    }
+    pendingRequests.values().forEach(request -> addRequestedMachines(request, bins));
     return bins;
   }
 
+  /** Adds the machines of a request, unless the cloud lists their type no longer. */
+  private void addRequestedMachines(PendingRequest request, List<PackingBin> bins) {
+    InstancePool pool = request.pool();
+    MachineType type = cluster.machineTypes.get(pool.type());
+    for (int i = 0; i < request.count() && type != null; i++) {
+      bins.add(PackingBin.ofRequestedMachine(pool, type));
+    }
+  }
+
   private boolean canTakeTasks(Machine machine, double now) {
     if (machine.scalingIn
         || machine.isOutOfUse(now)
--- a/src/main/java/graderelay/service/ControllerNode.java
+++ b/src/main/java/graderelay/service/ControllerNode.java
@@ -121,9 +121,12 @@
     if (closed) {
       return;
     }
-    components.leadership.tick();
-    components.leaderLifecycle.tick();
-    tickTimer = components.loop.schedule(TICK_INTERVAL_S, this::tick);
+    try {
+      components.leadership.tick();
+      components.leaderLifecycle.tick();
+    } finally {
+      tickTimer = components.loop.schedule(TICK_INTERVAL_S, this::tick);
+    }
   }
 
   /** Handles a request of a user, a worker, an operator or the load balancer. */
--- a/src/main/java/graderelay/service/LeaderTerm.java
+++ b/src/main/java/graderelay/service/LeaderTerm.java
@@ -247,9 +247,13 @@
     if (closed) {
       return;
     }
-    core.tick(loop.now());
-    actionExecutor.execute();
-    tickTimer = loop.schedule(ControllerNode.TICK_INTERVAL_S, this::tick);
+    try {
+      core.tick(loop.now());
+      actionExecutor.execute();
+    } finally {
+      // Also after an exception: without ticks, no lease would ever end and no machine come.
+      tickTimer = loop.schedule(ControllerNode.TICK_INTERVAL_S, this::tick);
+    }
   }
 
   /**
